--- /dev/null
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ApplyCommand.kt
@@ -0,0 +1,70 @@
+/*
+ * `rhubarbspool apply`: accepts a configuration and watches it come in force.
+ */
+package rhubarbspool.command
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.ajalt.clikt.parameters.types.long
+import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.configuration.ServiceConfiguration
+import rhubarbspool.table.ConfigurationBody
+import rhubarbspool.table.RowKeys
+import rhubarbspool.table.RowTable
+
+/** Puts a configuration in force. */
+internal class ApplyCommand : SystemCommand("apply") {
+    private val file by argument("file", help = "The configuration").file(mustExist = true, canBeDir = false)
+    private val noWait by option("--no-wait", help = "Return once the configuration is accepted").flag()
+    private val seconds by option("--seconds", help = "How long to wait until it is in force").long().default(DEFAULT_SECONDS)
+    private val reason by option("--reason", help = "Why, for the audit trail").default("")
+
+    override fun help(context: Context): String =
+        "Accepts a configuration and waits until every instance applies it.\n\n" +
+            "Example: rhubarbspool apply samples/phewa/booking-ledger-configuration.yaml --platform 127.0.0.1:7000"
+
+    override fun execute(client: OperatorClient) {
+        val text = file.readText()
+        val configuration = ConfigurationDocument.read(text).fold({ refuse(file.path, it) }, { it })
+        val rows = client.rows()
+        val old = rows.body<ConfigurationBody>(RowKeys.configuration(configuration.service))
+        val number = (old?.number ?: 0) + 1
+        val body = ConfigurationBody(configuration.service, number, client.keep(text), author)
+        val key = RowKeys.configuration(configuration.service)
+        val row = write(client, rows, OperatorChange(key, body, author, "apply", reason))
+        echo("accepted ${configuration.service} number $number")
+        client.announce(rows.activeMembers(), row)
+        if (!noWait) waitInForce(client, rows, configuration, number)
+    }
+
+    private fun waitInForce(client: OperatorClient, rows: RowTable, configuration: ServiceConfiguration, number: Long) {
+        val start = System.nanoTime()
+        val members = rows.activeMembers()
+        while (true) {
+            val behind = members.filterNot { member ->
+                client.status(member)?.configurationsList.orEmpty()
+                    .any { it.service == configuration.service.text && it.version >= number }
+            }
+            val elapsed = (System.nanoTime() - start) / NANOSECONDS_PER_MILLISECOND
+            echo("in force on ${members.size - behind.size} of ${members.size} instances after $elapsed ms", err = true)
+            if (behind.isEmpty()) return
+            if (elapsed > seconds * MILLISECONDS_PER_SECOND) {
+                echo("not in force on: ${behind.joinToString { it.instance.text }}", err = true)
+                throw ProgramResult(ExitCodes.FAILED)
+            }
+            Thread.sleep(POLL_MILLISECONDS)
+        }
+    }
+
+    private companion object {
+        const val DEFAULT_SECONDS = 14L
+        const val POLL_MILLISECONDS = 100L
+        const val MILLISECONDS_PER_SECOND = 1_000L
+        const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
+    }
+}
--- /dev/null
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/DocumentCommands.kt
@@ -0,0 +1,75 @@
+/*
+ * Commands that work on documents alone: the questionnaire and the check of a configuration.
+ */
+package rhubarbspool.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.terminal
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.ajalt.mordant.terminal.prompt
+import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.configuration.Question
+import rhubarbspool.configuration.Questionnaire
+import rhubarbspool.settings.Fault
+
+/** Asks a new team about its service and writes the configuration. */
+internal class QuestionnaireCommand : CliktCommand(name = "questionnaire") {
+    private val answers by option("--answers", help = "Take the answers from this YAML file instead of asking")
+        .file(mustExist = true, canBeDir = false)
+    private val output by option("--output", help = "Write the configuration here instead of to standard output")
+        .file(canBeDir = false)
+
+    override fun help(context: Context): String =
+        "Describes a service by questions and writes its configuration.\n\n" +
+            "Example: rhubarbspool questionnaire --answers samples/phewa/booking-ledger.answers.yaml --output ledger.yaml"
+
+    override fun run() {
+        val document = answers?.readText() ?: ask()
+        Questionnaire.configure(document).fold({ refuse("answers", it) }, { configuration ->
+            val text = ConfigurationDocument.write(configuration)
+            ConfigurationDocument.read(text).onLeft { refuse("answers", it) }
+            output?.writeText(text) ?: echo(text, trailingNewline = false)
+        })
+    }
+
+    private fun ask(): String = Questionnaire.questions.joinToString("\n") { question ->
+        echo("\n${question.text}\n  ${question.price}")
+        if (question.id == "servers") "servers:\n${askServers()}" else "${question.id}: ${askOne(question)}"
+    }
+
+    private fun askOne(question: Question): String =
+        terminal.prompt(question.id, default = question.default) ?: question.default.orEmpty()
+
+    private fun askServers(): String = generateSequence {
+        terminal.prompt("server (empty to end)", default = "")?.takeIf { it.isNotBlank() }
+    }.joinToString("\n") { "  - $it" }
+}
+
+/** Checks configurations without any system at hand. */
+internal class CheckCommand : CliktCommand(name = "check") {
+    private val files by argument("file", help = "Configurations to check").file(mustExist = true).multiple(required = true)
+
+    override fun help(context: Context): String =
+        "Checks configurations and names every fault.\n\nExample: rhubarbspool check samples/phewa/*-configuration.yaml"
+
+    override fun run() {
+        val faulty = files.filter { file ->
+            val faults = ConfigurationDocument.read(file.readText()).leftOrNull().orEmpty()
+            faults.forEach { echo("$file: $it", err = true) }
+            if (faults.isEmpty()) echo("$file: valid")
+            faults.isNotEmpty()
+        }
+        if (faulty.isNotEmpty()) throw ProgramResult(ExitCodes.INVALID_DOCUMENT)
+    }
+}
+
+/** Prints [faults] of the document [name] and ends the command. */
+internal fun CliktCommand.refuse(name: String, faults: List<Fault>): Nothing {
+    faults.forEach { echo("$name: $it", err = true) }
+    throw ProgramResult(ExitCodes.INVALID_DOCUMENT)
+}
--- /dev/null
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ExitCodes.kt
@@ -0,0 +1,12 @@
+/*
+ * Exit codes of the command line.
+ */
+package rhubarbspool.command
+
+/** Exit codes, each with one meaning. */
+object ExitCodes {
+    const val FAILED: Int = 1
+    const val INVALID_DOCUMENT: Int = 3
+    const val CONFLICT: Int = 4
+    const val PLATFORM_SILENT: Int = 5
+}
--- /dev/null
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ExplainCommand.kt
@@ -0,0 +1,90 @@
+/*
+ * `rhubarbspool explain`: where a key is served, and why.
+ */
+package rhubarbspool.command
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.arguments.argument
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.configuration.ServiceConfiguration
+import rhubarbspool.model.ServiceName
+import rhubarbspool.routing.KeyLocator
+import rhubarbspool.table.ConfigurationBody
+import rhubarbspool.table.RowKeys
+
+/** Where a key is served. */
+@Serializable
+internal data class Explanation(
+    val service: String,
+    val key: String,
+    val shard: String,
+    val server: String,
+    val gate: String,
+    val gateEpoch: Long,
+    val shardEpoch: Long,
+    val why: List<String>,
+)
+
+/** Explains the way of a key. */
+internal class ExplainCommand : SystemCommand("explain") {
+    private val service by argument("service", help = "Name of the service")
+    private val key by argument("key", help = "The key, as in the path")
+
+    override fun help(context: Context): String =
+        "Says which server answers for a key, through whose gate, and why.\n\n" +
+            "Example: rhubarbspool explain availability-board boat-17 --platform 127.0.0.1:7000"
+
+    override fun execute(client: OperatorClient) {
+        val rows = client.rows()
+        val row = rows.body<ConfigurationBody>(RowKeys.configuration(ServiceName(service)))
+        val configuration = row?.let { client.fetch(it.objectHash) }?.let { ConfigurationDocument.read(it).getOrNull() }
+        val location = configuration?.let { KeyLocator.locate(rows, it, key) }
+        if (configuration == null || location == null) {
+            echo(if (configuration == null) "no service $service is configured" else "no server owns $key", err = true)
+            throw ProgramResult(ExitCodes.FAILED)
+        }
+        val explanation = Explanation(
+            service,
+            key,
+            location.shardKey,
+            location.server.text,
+            location.holder?.text ?: "nobody",
+            location.gateEpoch,
+            location.shardEpoch,
+            reasons(client, configuration, location.shardKey, location.server.text, location.holder?.text),
+        )
+        if (json) echo(prettyJson.encodeToString(explanation)) else print(explanation)
+    }
+
+    private fun reasons(
+        client: OperatorClient,
+        configuration: ServiceConfiguration,
+        shard: String,
+        server: String,
+        holder: String?,
+    ): List<String> {
+        val hot = "/key/" in shard
+        val trail = client.audit(AUDIT_LINES).filter { shard in it.audit.subject || server in it.audit.subject }
+        return listOfNotNull(
+            if (hot) "the key is hot and has a shard of its own" else "the key hashes into one of ${configuration.shards} shards",
+            "the shard's row names $server",
+            if (holder == null) "nobody holds the gate of $server" else "$holder holds the gate of $server",
+            trail.firstOrNull()?.audit?.let { "last change: ${it.action} from ${it.before} to ${it.after} (${it.cause})" },
+        )
+    }
+
+    private fun print(explanation: Explanation) {
+        echo("key     ${explanation.key} of ${explanation.service}")
+        echo("shard   ${explanation.shard} epoch ${explanation.shardEpoch}")
+        echo("server  ${explanation.server}")
+        echo("gate    ${explanation.gate} epoch ${explanation.gateEpoch}")
+        explanation.why.forEach { echo("  - $it") }
+    }
+
+    private companion object {
+        const val AUDIT_LINES = 500
+    }
+}
--- /dev/null
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/OperatorClient.kt
@@ -0,0 +1,164 @@
+/*
+ * What the command line needs of the platform and of the controllers. Calls wait for their answers.
+ */
+package rhubarbspool.command
+
+import io.grpc.StatusRuntimeException
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.serialization.json.JsonObject
+import rhubarbspool.edge.Channels
+import rhubarbspool.edge.HttpAnswer
+import rhubarbspool.edge.HttpCall
+import rhubarbspool.edge.HttpClient
+import rhubarbspool.edge.HttpObjectStore
+import rhubarbspool.edge.HttpTableClient
+import rhubarbspool.edge.RowMessage
+import rhubarbspool.edge.RowsMessage
+import rhubarbspool.edge.platformJson
+import rhubarbspool.edge.toMessage
+import rhubarbspool.model.Address
+import rhubarbspool.protocol.PeerGrpc
+import rhubarbspool.protocol.RowBatch
+import rhubarbspool.protocol.StatusReply
+import rhubarbspool.protocol.StatusRequest
+import rhubarbspool.table.AuditBody
+import rhubarbspool.table.CommitResult
+import rhubarbspool.table.Condition
+import rhubarbspool.table.MemberBody
+import rhubarbspool.table.MemberState
+import rhubarbspool.table.RowBody
+import rhubarbspool.table.RowCodec
+import rhubarbspool.table.RowKeys
+import rhubarbspool.table.RowTable
+import rhubarbspool.table.Transaction
+import rhubarbspool.table.VersionedRow
+import rhubarbspool.table.Write
+import rhubarbspool.table.resolve
+import java.util.UUID
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.TimeUnit
+
+/** The platform did not answer. */
+internal class PlatformSilent(cause: Throwable?) : RuntimeException("the platform does not answer", cause)
+
+/** An operator's change to the row under [key], made by [author]. */
+internal data class OperatorChange(
+    val key: String,
+    val body: RowBody,
+    val author: String,
+    val action: String,
+    val cause: String,
+)
+
+/** A line of the audit trail. */
+internal data class AuditLine(val key: String, val version: Long, val audit: AuditBody)
+
+/** Access for one command. */
+internal class OperatorClient(platform: Address) : AutoCloseable {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val http = HttpClient(group, TIMEOUT_MILLISECONDS)
+    private val table = HttpTableClient(http, platform)
+    private val objects = HttpObjectStore(http, platform)
+    private val channels = Channels(group, pings = false)
+    private val address = platform
+
+    /** A copy of all shared rows. */
+    fun rows(): RowTable {
+        val rows = RowTable()
+        var after = 0L
+        do {
+            val page = await(table.scan(RowKeys.SHARED_PREFIXES, after))
+            page.rows.forEach(rows::merge)
+            after = page.revision
+        } while (page.more)
+        return rows
+    }
+
+    /** Keeps [text] in the object store; its hash. */
+    fun keep(text: String): String = await(objects.put(text))
+
+    /** The object under [hash]. */
+    fun fetch(hash: String): String? = await(objects.get(hash))
+
+    /**
+     * Writes [change] if the row still has [version], together with its audit line. A lost reply is resolved by
+     * sending the same transaction again.
+     */
+    fun write(change: OperatorChange, version: Long, before: String): CommitResult {
+        val writeId = "operator.${UUID.randomUUID()}"
+        val now = System.currentTimeMillis()
+        val audit = AuditBody(
+            change.author,
+            change.action,
+            change.key,
+            before,
+            RowCodec.encode(change.body),
+            change.cause,
+            now,
+        )
+        val transaction = Transaction(
+            writeId,
+            listOf(Condition(change.key, version)),
+            listOf(Write(change.key, change.body), Write(RowKeys.audit(now, writeId), audit)),
+        )
+        repeat(TRIES) {
+            val result = await(table.commit(transaction)).resolve(transaction)
+            if (result !is CommitResult.Unknown) return result
+        }
+        return CommitResult.Unknown
+    }
+
+    /** The newest [count] lines of the audit trail, newest first. */
+    fun audit(count: Int): List<AuditLine> {
+        val answer = await(http.send(address, HttpCall("GET", "/v1/rows?prefix=audit/&newest=$count")))
+        return messagesOf(answer).mapNotNull { row ->
+            val body = (row.body as? JsonObject)?.let { RowCodec.decode(it.toString()) } as? AuditBody
+            body?.let { AuditLine(row.key, row.version, it) }
+        }
+    }
+
+    /** Tells a few instances of [row] at once, so that they need not find it in the table. */
+    fun announce(members: Collection<MemberBody>, row: VersionedRow) {
+        val batch = RowBatch.newBuilder().addRows(row.toMessage()).build()
+        members.shuffled().take(ANNOUNCED).forEach { member -> quietly { stub(member).push(batch) } }
+    }
+
+    /** What the controller of [member] says of itself; null when it does not answer. */
+    fun status(member: MemberBody): StatusReply? = quietly { stub(member).status(StatusRequest.getDefaultInstance()) }
+
+    override fun close() {
+        channels.close()
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+    }
+
+    private fun stub(member: MemberBody) = PeerGrpc.newBlockingStub(channels.channel(member.controller))
+        .withDeadlineAfter(STATUS_MILLISECONDS, TimeUnit.MILLISECONDS)
+
+    private fun <T> quietly(action: () -> T): T? = try {
+        action()
+    } catch (_: StatusRuntimeException) {
+        null
+    }
+
+    private fun messagesOf(answer: HttpAnswer): List<RowMessage> =
+        platformJson.decodeFromString<RowsMessage>(answer.body).rows
+
+    private fun <T> await(future: CompletableFuture<T>): T = try {
+        future.get()
+    } catch (exception: ExecutionException) {
+        throw PlatformSilent(exception.cause)
+    }
+
+    private companion object {
+        const val TIMEOUT_MILLISECONDS = 5_000L
+        const val STATUS_MILLISECONDS = 1_000L
+        const val TRIES = 3
+        const val ANNOUNCED = 3
+    }
+}
+
+/** Members that take part. */
+internal fun RowTable.activeMembers(): List<MemberBody> =
+    members.values.map { it.member }.filter { it.state == MemberState.ACTIVE }
--- /dev/null
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/OrderCommands.kt
@@ -0,0 +1,131 @@
+/*
+ * Orders of operators: drain and undrain, release of a quarantine; and the audit trail that shows them.
+ */
+package rhubarbspool.command
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.enum
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import kotlinx.serialization.encodeToString
+import rhubarbspool.table.AuditBody
+import rhubarbspool.table.DrainBody
+import rhubarbspool.table.DrainKind
+import rhubarbspool.table.QuarantineBody
+import rhubarbspool.table.RowKeys
+import rhubarbspool.table.RowTable
+import rhubarbspool.model.ServiceName
+import java.time.Instant
+
+/** Takes something out of service, or brings it back. */
+internal class DrainCommand(private val draining: Boolean) : SystemCommand(if (draining) "drain" else "undrain") {
+    private val kind by argument("kind", help = "server, instance or domain").enum<DrainKind>()
+    private val target by argument("name", help = "Its name")
+    private val reason by option("--reason", help = "Why, for the audit trail").default("")
+    private val noWait by option("--no-wait", help = "Return once the order is accepted").flag()
+    private val seconds by option("--seconds", help = "How long to wait until shards have left").long().default(DEFAULT_SECONDS)
+
+    override fun help(context: Context): String = if (draining) {
+        "Takes a server, an instance or a failure domain out of service without cutting off requests.\n\n" +
+            "Example: rhubarbspool drain domain gandaki-a --reason 'power work' --platform 127.0.0.1:7000"
+    } else {
+        "Brings a server, an instance or a failure domain back into service.\n\n" +
+            "Example: rhubarbspool undrain domain gandaki-a --platform 127.0.0.1:7000"
+    }
+
+    override fun execute(client: OperatorClient) {
+        val rows = client.rows()
+        val key = RowKeys.drain(kind, target)
+        val current = rows.body<DrainBody>(key)?.draining ?: false
+        if (current == draining) {
+            echo("$target is already ${if (draining) "drained" else "in service"}")
+            return
+        }
+        val body = DrainBody(kind, target, draining, author, reason)
+        val row = write(client, rows, OperatorChange(key, body, author, commandName, reason))
+        echo("accepted: $commandName ${kind.name.lowercase()} $target")
+        client.announce(rows.activeMembers(), row)
+        if (draining && !noWait) waitUntilEmpty(client)
+    }
+
+    private fun waitUntilEmpty(client: OperatorClient) {
+        val start = System.nanoTime()
+        while (true) {
+            val left = remaining(client.rows(), client)
+            val elapsed = (System.nanoTime() - start) / NANOSECONDS_PER_MILLISECOND
+            echo("$left left after $elapsed ms", err = true)
+            if (left == 0) return
+            if (elapsed > seconds * MILLISECONDS_PER_SECOND) throw ProgramResult(ExitCodes.FAILED)
+            Thread.sleep(POLL_MILLISECONDS)
+        }
+    }
+
+    private fun remaining(rows: RowTable, client: OperatorClient): Int = when (kind) {
+        DrainKind.INSTANCE -> rows.gates.values.count { it.gate.holder?.text == target }
+        DrainKind.SERVER -> rows.gates.values.filter { it.gate.server.text == target }.sumOf { rows.shardsOf(it.gate.server).size }
+        DrainKind.DOMAIN -> serversOf(rows, client).sumOf { rows.shardsOf(it).size }
+    }
+
+    private fun serversOf(rows: RowTable, client: OperatorClient) = rows.configurations()
+        .mapNotNull { client.fetch(it.objectHash) }
+        .mapNotNull { rhubarbspool.configuration.ConfigurationDocument.read(it).getOrNull() }
+        .flatMap { it.servers }.filter { it.domain.text == target }.map { it.name }
+
+    private companion object {
+        const val DEFAULT_SECONDS = 30L
+        const val POLL_MILLISECONDS = 250L
+        const val MILLISECONDS_PER_SECOND = 1_000L
+        const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
+    }
+}
+
+/** Releases a request fingerprint from quarantine. */
+internal class QuarantineCommand : SystemCommand("release-quarantine") {
+    private val service by argument("service", help = "Name of the service")
+    private val fingerprint by argument("fingerprint", help = "As shown by status")
+    private val reason by option("--reason", help = "Why, for the audit trail").default("")
+
+    override fun help(context: Context): String = "Lets a request run again that was in flight when servers crashed."
+
+    override fun execute(client: OperatorClient) {
+        val rows = client.rows()
+        val key = RowKeys.quarantine(ServiceName(service), fingerprint)
+        val old = rows.body<QuarantineBody>(key)
+        if (old == null) {
+            echo("$fingerprint of $service is not in quarantine", err = true)
+            throw ProgramResult(ExitCodes.FAILED)
+        }
+        val row = write(client, rows, OperatorChange(key, old.copy(releasedBy = author), author, "release-quarantine", reason))
+        client.announce(rows.activeMembers(), row)
+        echo("released $fingerprint of $service")
+    }
+}
+
+/** Shows the audit trail. */
+internal class AuditCommand : SystemCommand("audit") {
+    private val lines by option("--lines", help = "How many of the newest lines").int().default(DEFAULT_LINES)
+
+    override fun help(context: Context): String =
+        "Shows who changed what, newest first.\n\nExample: rhubarbspool audit --lines 20 --platform 127.0.0.1:7000"
+
+    override fun execute(client: OperatorClient) {
+        val trail = client.audit(lines)
+        if (json) return echo(prettyJson.encodeToString(trail.map { it.audit }))
+        trail.forEach { echo(line(it.audit)) }
+    }
+
+    private fun line(audit: AuditBody): String {
+        val cause = if (audit.cause.isEmpty()) "" else " (${audit.cause})"
+        return "${Instant.ofEpochMilli(audit.atMilliseconds)} ${audit.author} ${audit.action} ${audit.subject}: " +
+            "${audit.before} -> ${audit.after}$cause"
+    }
+
+    private companion object {
+        const val DEFAULT_LINES = 50
+    }
+}
--- /dev/null
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/SystemCommand.kt
@@ -0,0 +1,67 @@
+/*
+ * What commands share that talk to a running system.
+ */
+package rhubarbspool.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.convert
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import kotlinx.serialization.json.Json
+import rhubarbspool.model.Address
+import rhubarbspool.table.CommitResult
+import rhubarbspool.table.RowCodec
+import rhubarbspool.table.RowTable
+import rhubarbspool.table.VersionedRow
+
+/** A command that talks to a running system. */
+internal abstract class SystemCommand(name: String) : CliktCommand(name = name) {
+    private val platform by option(
+        "--platform",
+        envvar = "RHUBARBSPOOL_PLATFORM",
+        help = "Address of the platform's services, such as 127.0.0.1:7000",
+    ).convert { Address.parse(it) ?: fail("an IP number and a port, such as 127.0.0.1:7000") }.required()
+
+    /** Whether to print JSON. */
+    protected val json by option("--json", help = "Print JSON for other programs").flag()
+
+    /** Who asks, for the audit trail. */
+    protected val author by option("--author", envvar = "USER", help = "Who asks, for the audit trail").default("operator")
+
+    final override fun run() {
+        try {
+            OperatorClient(platform).use(::execute)
+        } catch (exception: PlatformSilent) {
+            echo("${exception.message}: $platform", err = true)
+            throw ProgramResult(ExitCodes.PLATFORM_SILENT)
+        }
+    }
+
+    /** Does the command's work with [client]. */
+    protected abstract fun execute(client: OperatorClient)
+
+    /** Writes [change] on top of [rows]; the new row, or the end of the command when another was first. */
+    protected fun write(client: OperatorClient, rows: RowTable, change: OperatorChange): VersionedRow {
+        val old = rows.row(change.key)
+        val before = old?.body?.let(RowCodec::encode) ?: "none"
+        return when (val result = client.write(change, old?.version ?: 0, before)) {
+            is CommitResult.Committed -> result.rows.first { it.key == change.key }
+            is CommitResult.Conflict -> refuseConflict(change, result)
+            is CommitResult.Unknown -> throw PlatformSilent(null)
+        }
+    }
+
+    private fun refuseConflict(change: OperatorChange, result: CommitResult.Conflict): Nothing {
+        val winner = result.rows.firstOrNull { it.key == change.key }?.body?.let(RowCodec::encode)
+        echo("${change.key} was changed by another operator meanwhile; it is now: ${winner ?: "deleted"}", err = true)
+        throw ProgramResult(ExitCodes.CONFLICT)
+    }
+
+    protected companion object {
+        /** Format of `--json` output. */
+        val prettyJson: Json = Json { prettyPrint = true }
+    }
+}
--- /dev/null
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/ControllerDaemon.kt
@@ -0,0 +1,109 @@
+/*
+ * The controller process: one event loop that owns the decision code, ticks it, carries out its effects, and
+ * answers peers, the router of the same instance, and operators.
+ */
+package rhubarbspool.controller
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.grpc.Server
+import io.grpc.netty.NettyServerBuilder
+import io.netty.channel.Channel
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import rhubarbspool.control.ControlNode
+import rhubarbspool.control.Phase
+import rhubarbspool.edge.Channels
+import rhubarbspool.edge.Daemon
+import rhubarbspool.edge.DaemonSettings
+import rhubarbspool.edge.HttpClient
+import rhubarbspool.edge.HttpObjectStore
+import rhubarbspool.edge.HttpService
+import rhubarbspool.edge.HttpTableClient
+import rhubarbspool.edge.Metrics
+import rhubarbspool.edge.ObservationHandler
+import rhubarbspool.edge.ProcessClock
+import rhubarbspool.lease.LeaseTimes
+import java.net.InetSocketAddress
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import kotlin.random.Random
+
+private val logger = KotlinLogging.logger {}
+
+/** One controller. */
+class ControllerDaemon(private val settings: DaemonSettings, times: LeaseTimes = LeaseTimes()) : Daemon {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val random = Random(System.nanoTime())
+    private val node = ControlNode(settings.identity, times, random)
+    private val http = HttpClient(group, PLATFORM_TIMEOUT_MILLISECONDS)
+    private val table = HttpTableClient(http, settings.platform.table)
+    private val objects = ObjectCache(HttpObjectStore(http, settings.platform.objects))
+    private val channels = Channels(group, pings = false)
+    private val effects = EffectRunner(node, loop, table, objects, PeerClient(channels, node.state), ::tick)
+    private val local = LocalService(node, objects, random.nextLong(), ::tick)
+    private val metrics = Metrics()
+    private val gauges = ControllerGauges(metrics)
+    private val left = CompletableFuture<Unit>()
+    private lateinit var server: Server
+    private lateinit var observation: Channel
+
+    /** Starts to listen and to tick. */
+    fun start() {
+        val identity = settings.identity
+        server = NettyServerBuilder.forAddress(InetSocketAddress(identity.controller.host, identity.controller.port))
+            .bossEventLoopGroup(group).workerEventLoopGroup(group).channelType(NioServerSocketChannel::class.java)
+            .directExecutor()
+            .maxInboundMessageSize(Channels.MAXIMUM_MESSAGE_BYTES)
+            .addService(PeerService(node, objects, local))
+            .addService(local)
+            .build().start()
+        observation = HttpService(group, ObservationHandler(metrics) { node.state.phase == Phase.JOINED })
+            .listen(settings.controllerObservation)
+        loop.scheduleWithFixedDelay(::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS)
+        logger.atInfo {
+            message = "controller started"
+            payload = mapOf("instance" to identity.instance.text, "domain" to identity.domain.text)
+        }
+    }
+
+    /** Hands all gates over, says goodbye, and ends. */
+    override fun stop() {
+        loop.execute { node.leave() }
+        try {
+            left.get(settings.drainMilliseconds, TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            logger.warn { "planned stop ran out of time; the leases will lapse" }
+        }
+        server.shutdownNow()
+        observation.close()
+        channels.close()
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+    }
+
+    private fun tick() {
+        val now = ProcessClock.now()
+        runSafely { effects.run(node.tick(now)) }
+        gauges.update(node, table, now)
+        if (node.state.phase == Phase.LEFT && !left.isDone) {
+            loop.schedule({ left.complete(Unit) }, GOODBYE_MILLISECONDS, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    @Suppress("TooGenericExceptionCaught")
+    private fun runSafely(action: () -> Unit) {
+        try {
+            action()
+        } catch (exception: RuntimeException) {
+            logger.error(exception) { "a tick failed" }
+        }
+    }
+
+    private companion object {
+        const val TICK_MILLISECONDS = 20L
+        const val PLATFORM_TIMEOUT_MILLISECONDS = 2_000L
+        const val GOODBYE_MILLISECONDS = 200L
+    }
+}
--- /dev/null
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/EffectRunner.kt
@@ -0,0 +1,88 @@
+/*
+ * Carries out the effects of the decision code and brings the answers back to it.
+ */
+package rhubarbspool.controller
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.channel.EventLoop
+import rhubarbspool.control.ControlEffect
+import rhubarbspool.control.ControlNode
+import rhubarbspool.edge.ProcessClock
+import rhubarbspool.edge.TableClient
+import rhubarbspool.table.CommitResult
+import rhubarbspool.table.RowKeys
+
+private val logger = KotlinLogging.logger {}
+
+/** Runs effects on [loop]; [changed] is called when an answer may call for a tick at once. */
+internal class EffectRunner(
+    private val node: ControlNode,
+    private val loop: EventLoop,
+    private val table: TableClient,
+    private val objects: ObjectCache,
+    private val peers: PeerClient,
+    private val changed: () -> Unit,
+) {
+    /** Carries out [effects]. */
+    fun run(effects: List<ControlEffect>) = effects.forEach(::run)
+
+    private fun run(effect: ControlEffect) {
+        when (effect) {
+            is ControlEffect.AskPromise -> peers.askPromise(effect) { if (it) onLoop { node.onPromise(effect) } }
+            is ControlEffect.Commit -> commit(effect)
+            is ControlEffect.Scan -> scan(effect.after)
+            is ControlEffect.Push -> peers.push(effect.peer, effect.rows)
+            is ControlEffect.Exchange -> peers.exchange(effect.peer, effect.digest) { onLoop { node.onRows(it) } }
+            is ControlEffect.FetchObject -> fetch(effect)
+        }
+    }
+
+    private fun commit(effect: ControlEffect.Commit) {
+        table.commit(effect.transaction).thenAccept { result ->
+            onLoop {
+                node.onCommit(effect.purpose, effect.transaction.writeId, result, ProcessClock.now())
+                if (result is CommitResult.Committed) logCommitted(effect)
+                changed()
+            }
+        }
+    }
+
+    private fun logCommitted(effect: ControlEffect.Commit) = logger.atInfo {
+        message = "committed"
+        payload = mapOf("purpose" to effect.purpose, "writeId" to effect.transaction.writeId)
+    }
+
+    private fun scan(after: Long) {
+        table.scan(RowKeys.SHARED_PREFIXES, after).whenComplete { result, failure ->
+            if (failure == null) {
+                onLoop {
+                    node.onScan(after, result.rows, result.revision, ProcessClock.now())
+                    if (result.more) scan(result.revision) else changed()
+                }
+            }
+        }
+    }
+
+    private fun fetch(effect: ControlEffect.FetchObject) {
+        objects.fetch(effect.hash).thenAccept { text ->
+            onLoop {
+                if (text != null) {
+                    adopt(effect.hash, text)
+                } else {
+                    effect.peers.forEach { peer -> peers.fetchObject(peer, effect.hash) { onLoop { adopt(effect.hash, it) } } }
+                }
+            }
+        }
+    }
+
+    private fun adopt(hash: String, text: String) {
+        val service = node.onObject(hash, text) ?: return
+        objects.keep(text)
+        logger.atInfo {
+            message = "configuration in force"
+            payload = mapOf("service" to service.text, "number" to "${node.state.configurations[service]?.number}")
+        }
+    }
+
+    private fun onLoop(action: () -> Unit) = if (loop.inEventLoop()) action() else loop.execute(action)
+}
--- /dev/null
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/PeerClient.kt
@@ -0,0 +1,101 @@
+/*
+ * Calls to the controllers of other instances.
+ */
+package rhubarbspool.controller
+
+import com.google.common.util.concurrent.ListenableFuture
+import io.grpc.StatusRuntimeException
+import rhubarbspool.control.ControlEffect
+import rhubarbspool.control.ControlState
+import rhubarbspool.edge.Channels
+import rhubarbspool.edge.ObjectStore
+import rhubarbspool.edge.toMessage
+import rhubarbspool.edge.toVersionedRow
+import rhubarbspool.lease.LeaseScope
+import rhubarbspool.model.Address
+import rhubarbspool.model.InstanceName
+import rhubarbspool.protocol.ExchangeReply
+import rhubarbspool.protocol.ExchangeRequest
+import rhubarbspool.protocol.FetchObjectRequest
+import rhubarbspool.protocol.FetchRowsRequest
+import rhubarbspool.protocol.PeerGrpc
+import rhubarbspool.protocol.PromiseRequest
+import rhubarbspool.protocol.RowBatch
+import rhubarbspool.table.VersionedRow
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.TimeUnit
+
+/** Sends effects to peers. Answers come on the controller's event loop. */
+internal class PeerClient(private val channels: Channels, private val state: ControlState) {
+    /** Asks for a promise; [answered] hears whether it was given. */
+    fun askPromise(ask: ControlEffect.AskPromise, answered: (Boolean) -> Unit) {
+        val request = PromiseRequest.newBuilder()
+            .setHolder(state.identity.instance.text)
+            .setGeneration(ask.generation)
+            .setRemote(ask.scope == LeaseScope.REMOTE)
+            .setUnrecordedRuns(ask.unrecordedRuns)
+            .setSuccessorGeneration(ask.successor.generation)
+            .setSentAt(ask.sentAt)
+            .build()
+        call(ask.successor.instance, PROMISE_MILLISECONDS, { promise(request) }) { answered(it.promised) }
+    }
+
+    /** Passes [rows] on to [peer]. */
+    fun push(peer: InstanceName, rows: List<VersionedRow>) {
+        val batch = RowBatch.newBuilder().addAllRows(rows.map { it.toMessage() }).build()
+        call(peer, EXCHANGE_MILLISECONDS, { push(batch) }) { }
+    }
+
+    /** Compares [digest] with [peer]'s and hands what it has newer to [received]. */
+    fun exchange(peer: InstanceName, digest: List<Long>, received: (List<VersionedRow>) -> Unit) {
+        val request = ExchangeRequest.newBuilder().addAllBuckets(digest).build()
+        call(peer, EXCHANGE_MILLISECONDS, { exchange(request) }) { reply -> fetchNewer(peer, reply, received) }
+    }
+
+    /** Asks [peer] for the object under [hash]; [received] hears its text when the peer has it. */
+    fun fetchObject(peer: InstanceName, hash: String, received: (String) -> Unit) {
+        val request = FetchObjectRequest.newBuilder().setHash(hash).build()
+        call(peer, EXCHANGE_MILLISECONDS, { fetchObject(request) }) { reply ->
+            val text = reply.body.toStringUtf8()
+            if (reply.found && ObjectStore.hashOf(text) == hash) received(text)
+        }
+    }
+
+    private fun fetchNewer(peer: InstanceName, reply: ExchangeReply, received: (List<VersionedRow>) -> Unit) {
+        val newer = reply.versionsList.filter { it.version > state.rows.version(it.key) }.map { it.key }
+        if (newer.isEmpty()) return
+        val request = FetchRowsRequest.newBuilder().addAllKeys(newer).build()
+        call(peer, EXCHANGE_MILLISECONDS, { fetchRows(request) }) { batch ->
+            received(batch.rowsList.map { it.toVersionedRow() })
+        }
+    }
+
+    private fun <T> call(
+        peer: InstanceName,
+        timeoutMilliseconds: Long,
+        start: PeerGrpc.PeerFutureStub.() -> ListenableFuture<T>,
+        received: (T) -> Unit,
+    ) {
+        val address = state.rows.members[peer]?.member?.controller ?: return
+        val stub = PeerGrpc.newFutureStub(channels.channel(address))
+            .withDeadlineAfter(timeoutMilliseconds, TimeUnit.MILLISECONDS)
+        val future = stub.start()
+        future.addListener({ finish(address, future, received) }, Runnable::run)
+    }
+
+    private fun <T> finish(address: Address, future: ListenableFuture<T>, received: (T) -> Unit) {
+        val value = try {
+            future.get()
+        } catch (exception: ExecutionException) {
+            if (exception.cause is StatusRuntimeException) channels.missed(address)
+            return
+        }
+        channels.answered(address)
+        received(value)
+    }
+
+    private companion object {
+        const val PROMISE_MILLISECONDS = 500L
+        const val EXCHANGE_MILLISECONDS = 2_000L
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/ConfigurationDocument.kt
@@ -0,0 +1,193 @@
+/*
+ * YAML form of a service's configuration: reading with every fault named at once, and writing.
+ */
+package rhubarbspool.configuration
+
+import arrow.core.Either
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.ServerName
+import rhubarbspool.model.ServiceName
+import rhubarbspool.settings.DurationText
+import rhubarbspool.settings.Fault
+import rhubarbspool.settings.SettingsReader
+import rhubarbspool.settings.SizeText
+
+/** Reads and writes configurations as YAML. */
+object ConfigurationDocument {
+    private const val NAME_SHAPE = "lower-case letters, digits and hyphens, at most 63"
+    private const val HOLD = "hold"
+    private const val MAXIMUM_SHARDS = 65_536L
+    private const val MAXIMUM_SERVERS = 2_000
+    private const val MAXIMUM_ROUTES = 100
+    private const val MAXIMUM_SLOTS = 1_024L
+    private const val MAXIMUM_CONNECTIONS = 65_536L
+    private const val MAXIMUM_QUEUE = 100_000L
+    private const val MAXIMUM_BODY_BYTES = 16_777_216L
+    private const val MINIMUM_DEADLINE_MILLISECONDS = 5L
+    private const val MAXIMUM_DEADLINE_MILLISECONDS = 600_000L
+    private const val MINIMUM_SILENCE_MILLISECONDS = 50L
+    private const val MINIMUM_MOVE_MILLISECONDS = 2_000L
+    private const val MAXIMUM_MOVE_MILLISECONDS = 86_400_000L
+    private const val MAXIMUM_COMPLETIONS = 10_000L
+    private val NAME = Regex("[a-z0-9][a-z0-9-]{0,62}")
+    private val PATH = Regex("""(/[A-Za-z0-9._~-]+)*/\{key}(/[A-Za-z0-9._~-]+)*""")
+    private val METHODS = listOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
+    private val DEADLINES = MINIMUM_DEADLINE_MILLISECONDS..MAXIMUM_DEADLINE_MILLISECONDS
+
+    /** Reads [text]; every fault when there is any. */
+    fun read(text: String): Either<List<Fault>, ServiceConfiguration> = SettingsReader.read(text, ::readService)
+
+    /** Writes [configuration] so that [read] gives an equal value. */
+    fun write(configuration: ServiceConfiguration): String = buildString {
+        appendLine("service: ${configuration.service}")
+        appendLine("shards: ${configuration.shards}")
+        appendLine("whenCutOff: ${configuration.moveAfterMilliseconds?.let(DurationText::format) ?: HOLD}")
+        appendLine("repeatWindow: ${DurationText.format(configuration.repeatWindowMilliseconds)}")
+        append(writeLimits(configuration.limits))
+        appendLine("coldStart:")
+        appendLine("  slots: ${configuration.coldStart.slots}")
+        appendLine("  completions: ${configuration.coldStart.completions}")
+        appendLine("routes:")
+        configuration.routes.forEach { append(writeRoute(it)) }
+        appendLine("servers:")
+        configuration.servers.forEach { append(writeServer(it)) }
+    }
+
+    private fun readService(reader: SettingsReader): ServiceConfiguration {
+        val configuration = ServiceConfiguration(
+            service = ServiceName(reader.text("service", NAME, NAME_SHAPE)),
+            shards = reader.number("shards", 1L..MAXIMUM_SHARDS).toInt(),
+            routes = reader.sections("routes", 1..MAXIMUM_ROUTES, ::readRoute),
+            servers = reader.sections("servers", 1..MAXIMUM_SERVERS, ::readServer),
+            moveAfterMilliseconds = readWhenCutOff(reader),
+            repeatWindowMilliseconds = reader.duration(
+                "repeatWindow",
+                DEADLINES.first..MAXIMUM_MOVE_MILLISECONDS,
+                ServiceConfiguration.DEFAULT_REPEAT_WINDOW_MILLISECONDS,
+            ),
+            limits = reader.section("limits", ::readLimits),
+            coldStart = reader.section("coldStart", ::readColdStart),
+        )
+        checkTogether(reader, configuration)
+        return configuration
+    }
+
+    private fun readWhenCutOff(reader: SettingsReader): Long? {
+        val text = reader.text("whenCutOff", HOLD)
+        if (text == HOLD) return null
+        val range = MINIMUM_MOVE_MILLISECONDS..MAXIMUM_MOVE_MILLISECONDS
+        val duration = DurationText.parse(text)?.takeIf { it in range }
+        if (duration == null) {
+            reader.fault("whenCutOff", "\"$text\"", "hold, or a duration from 2s to 24h after which keys move")
+        }
+        return duration
+    }
+
+    private fun readRoute(reader: SettingsReader) = Route(
+        name = reader.text("name", NAME, NAME_SHAPE),
+        method = reader.choice("method", METHODS) { it },
+        path = reader.text("path", PATH, "a path with one {key} segment, such as /boats/{key}"),
+        kind = reader.choice("kind", RunKind.entries) { it.label },
+        priority = reader.choice("priority", Priority.entries, Priority.NORMAL) { it.label },
+        coalesce = reader.flag("coalesce", false),
+        deadlineMilliseconds = reader.duration("deadline", DEADLINES, Limits.DEFAULT_DEADLINE_MILLISECONDS),
+    )
+
+    private fun readServer(reader: SettingsReader) = BackendServer(
+        name = ServerName(reader.text("name", NAME, NAME_SHAPE)),
+        address = reader.address("address"),
+        domain = FailureDomainName(reader.text("domain", NAME, NAME_SHAPE)),
+        checksGrants = reader.flag("checksGrants"),
+    )
+
+    private fun readLimits(reader: SettingsReader): Limits {
+        val default = Limits()
+        val sizes = 0L..MAXIMUM_BODY_BYTES
+        return Limits(
+            slots = reader.number("slots", 1L..MAXIMUM_SLOTS, default.slots.toLong()).toInt(),
+            connections = reader.number("connections", 1L..MAXIMUM_CONNECTIONS, default.connections.toLong()).toInt(),
+            maximumExecutionMilliseconds =
+            reader.duration("maximumExecution", DEADLINES, default.maximumExecutionMilliseconds),
+            requestBodyBytes = reader.size("requestBody", sizes, default.requestBodyBytes),
+            coalescedAnswerBytes = reader.size("coalescedAnswer", sizes, default.coalescedAnswerBytes),
+            queueLength = reader.number("queueLength", 1L..MAXIMUM_QUEUE, default.queueLength.toLong()).toInt(),
+            silenceMilliseconds = reader.duration(
+                "silence",
+                MINIMUM_SILENCE_MILLISECONDS..MAXIMUM_DEADLINE_MILLISECONDS,
+                default.silenceMilliseconds,
+            ),
+        )
+    }
+
+    private fun readColdStart(reader: SettingsReader) = ColdStart(
+        slots = reader.number("slots", 1L..MAXIMUM_SLOTS, 1).toInt(),
+        completions =
+        reader.number("completions", 1L..MAXIMUM_COMPLETIONS, ColdStart.DEFAULT_COMPLETIONS.toLong()).toInt(),
+    )
+
+    private fun checkTogether(reader: SettingsReader, configuration: ServiceConfiguration) {
+        duplicates(configuration.servers.map { it.name.text })
+            .forEach { reader.fault("servers", "the name \"$it\" twice", "each name once") }
+        duplicates(configuration.servers.map { it.address.toString() })
+            .forEach { reader.fault("servers", "the address $it twice", "each address once") }
+        duplicates(configuration.routes.map { it.name })
+            .forEach { reader.fault("routes", "the name \"$it\" twice", "each name once") }
+        duplicates(configuration.routes.map { "${it.method} ${it.path}" })
+            .forEach { reader.fault("routes", "$it twice", "each method and path once") }
+        checkRoutes(reader, configuration)
+        val limits = configuration.limits
+        if (configuration.coldStart.slots > limits.slots) {
+            reader.fault("coldStart.slots", "${configuration.coldStart.slots}", "at most limits.slots ${limits.slots}")
+        }
+        if (limits.slots > limits.connections) {
+            reader.fault("limits.slots", "${limits.slots}", "at most limits.connections ${limits.connections}")
+        }
+    }
+
+    private fun checkRoutes(reader: SettingsReader, configuration: ServiceConfiguration) {
+        configuration.routes.forEachIndexed { position, route ->
+            if (route.coalesce && route.kind == RunKind.ONCE) {
+                reader.fault("routes[$position].coalesce", "true", "false on a route of kind once")
+            }
+            if (route.deadlineMilliseconds > configuration.limits.maximumExecutionMilliseconds) {
+                reader.fault(
+                    "routes[$position].deadline",
+                    DurationText.format(route.deadlineMilliseconds),
+                    "at most limits.maximumExecution " +
+                        DurationText.format(configuration.limits.maximumExecutionMilliseconds),
+                )
+            }
+        }
+    }
+
+    private fun duplicates(names: List<String>): Set<String> =
+        names.filter { it.isNotEmpty() }.groupingBy { it }.eachCount().filterValues { it > 1 }.keys
+
+    private fun writeLimits(limits: Limits): String = buildString {
+        appendLine("limits:")
+        appendLine("  slots: ${limits.slots}")
+        appendLine("  connections: ${limits.connections}")
+        appendLine("  maximumExecution: ${DurationText.format(limits.maximumExecutionMilliseconds)}")
+        appendLine("  requestBody: ${SizeText.format(limits.requestBodyBytes)}")
+        appendLine("  coalescedAnswer: ${SizeText.format(limits.coalescedAnswerBytes)}")
+        appendLine("  queueLength: ${limits.queueLength}")
+        appendLine("  silence: ${DurationText.format(limits.silenceMilliseconds)}")
+    }
+
+    private fun writeRoute(route: Route): String = buildString {
+        appendLine("  - name: ${route.name}")
+        appendLine("    method: ${route.method}")
+        appendLine("    path: ${route.path}")
+        appendLine("    kind: ${route.kind.label}")
+        appendLine("    priority: ${route.priority.label}")
+        appendLine("    coalesce: ${route.coalesce}")
+        appendLine("    deadline: ${DurationText.format(route.deadlineMilliseconds)}")
+    }
+
+    private fun writeServer(server: BackendServer): String = buildString {
+        appendLine("  - name: ${server.name}")
+        appendLine("    address: ${server.address}")
+        appendLine("    domain: ${server.domain}")
+        appendLine("    checksGrants: ${server.checksGrants}")
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ConfigurationSystem.kt
@@ -0,0 +1,45 @@
+/*
+ * Brings accepted configurations in force. The number of a configuration only grows, on every instance,
+ * whatever order rows, objects and restarts come in.
+ */
+package rhubarbspool.control
+
+import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.model.Now
+import rhubarbspool.model.ServiceName
+import rhubarbspool.table.ConfigurationBody
+
+/** Fetches the texts of configurations that are not in force yet. */
+internal class ConfigurationSystem : ControlSystem {
+    private val askedAt = HashMap<String, Long>()
+    private val wanted = HashMap<String, ConfigurationBody>()
+
+    override fun run(state: ControlState, now: Now): List<ControlEffect> {
+        wanted.clear()
+        state.rows.configurations()
+            .filter { it.number > (state.configurations[it.service]?.number ?: 0) }
+            .forEach { wanted[it.objectHash] = it }
+        askedAt.keys.retainAll(wanted.keys)
+        val due = wanted.keys.filter { now.monotonic - (askedAt[it] ?: (now.monotonic - RETRY_MILLISECONDS)) >= RETRY_MILLISECONDS }
+        return due.map { hash ->
+            askedAt[hash] = now.monotonic
+            val peers = state.activeMembers().map { it.member.instance } - state.identity.instance
+            ControlEffect.FetchObject(hash, peers.shuffled(state.random).take(PEERS_ASKED))
+        }
+    }
+
+    /** Puts the object [hash] with [text] in force; the service it belongs to, null when it is not wanted. */
+    fun adopt(state: ControlState, hash: String, text: String): ServiceName? {
+        val row = wanted[hash] ?: return null
+        val configuration = ConfigurationDocument.read(text).getOrNull()?.takeIf { it.service == row.service }
+        val current = state.configurations[row.service]?.number ?: 0
+        if (configuration == null || row.number <= current) return null
+        state.configurations[row.service] = ConfigurationInForce(row.number, configuration)
+        return row.service
+    }
+
+    private companion object {
+        const val RETRY_MILLISECONDS = 500L
+        const val PEERS_ASKED = 3
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/GossipSystem.kt
@@ -0,0 +1,62 @@
+/*
+ * Spreads confirmed rows between instances: new rows at once to a few random peers, who pass them on, and a
+ * comparison of digests with one random peer now and then, which repairs what was missed. The table itself is
+ * read now and then, and at once when this instance must know everything up to a version.
+ */
+package rhubarbspool.control
+
+import rhubarbspool.model.Now
+import rhubarbspool.table.RowKeys
+
+/** Keeps the copies of rows alike. */
+internal class GossipSystem : ControlSystem {
+    private var exchangedAt = Long.MIN_VALUE / 2
+    private var scannedAt = Long.MIN_VALUE / 2
+    private var scanEvery = SCAN_MILLISECONDS
+
+    override fun run(state: ControlState, now: Now): List<ControlEffect> =
+        push(state) + exchange(state, now) + scan(state, now)
+
+    private fun peers(state: ControlState) =
+        state.activeMembers().map { it.member.instance }.filter { it != state.identity.instance }
+
+    private fun push(state: ControlState): List<ControlEffect> {
+        if (state.fresh.isEmpty()) return emptyList()
+        val rows = state.fresh.toList()
+        state.fresh.clear()
+        return peers(state).shuffled(state.random).take(FANOUT).map { ControlEffect.Push(it, rows) }
+    }
+
+    private fun exchange(state: ControlState, now: Now): List<ControlEffect> {
+        if (now.monotonic - exchangedAt < EXCHANGE_MILLISECONDS) return emptyList()
+        exchangedAt = now.monotonic
+        val peer = peers(state).randomOrNull(state.random) ?: return emptyList()
+        return listOf(ControlEffect.Exchange(peer, state.rows.digest()))
+    }
+
+    private fun scan(state: ControlState, now: Now): List<ControlEffect> {
+        val age = now.monotonic - scannedAt
+        val needed = neededRevision(state) > state.completeRevision
+        if (age < scanEvery && !(needed && age >= NEEDED_SCAN_MILLISECONDS)) return emptyList()
+        scannedAt = now.monotonic
+        scanEvery = SCAN_MILLISECONDS + state.random.nextLong(SCAN_MILLISECONDS)
+        return listOf(ControlEffect.Scan(state.completeRevision))
+    }
+
+    /** The highest version that this instance must know everything up to, to serve its gates and their shards. */
+    private fun neededRevision(state: ControlState): Long {
+        val gates = state.ownGates()
+        val shards = gates.flatMap { state.rows.shardsOf(it.gate.server) }.maxOfOrNull { it.version } ?: 0
+        return maxOf(state.regainVersion, gates.maxOfOrNull { it.version } ?: 0, shards)
+    }
+
+    companion object {
+        private const val FANOUT = 3
+        private const val EXCHANGE_MILLISECONDS = 1_000L
+        private const val SCAN_MILLISECONDS = 3_000L
+        private const val NEEDED_SCAN_MILLISECONDS = 20L
+
+        /** Whether rows under [key] are passed on between instances. */
+        fun isSpread(key: String): Boolean = RowKeys.isShared(key)
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/JoinSystem.kt
@@ -0,0 +1,66 @@
+/*
+ * Brings this instance into the membership and out of it. A new generation is written only one lease after
+ * the start, so that the router of an earlier generation on the same machine has certainly stopped.
+ */
+package rhubarbspool.control
+
+import rhubarbspool.model.Now
+import rhubarbspool.table.CommitResult
+import rhubarbspool.table.Condition
+import rhubarbspool.table.MemberBody
+import rhubarbspool.table.MemberState
+import rhubarbspool.table.RowKeys
+import rhubarbspool.table.Write
+
+/** Joins after a start or a loss, and says goodbye when leaving. */
+internal object JoinSystem : ControlSystem {
+    /** Takeover waits that a restarted process leaves its successors, who know of runs that were not recorded. */
+    private const val WAITS_AFTER_CRASH = 2
+
+    override fun run(state: ControlState, now: Now): List<ControlEffect> = when (state.phase) {
+        Phase.STARTING -> join(state, now)
+        Phase.LEAVING -> leave(state, now)
+        else -> emptyList()
+    }
+
+    private fun join(state: ControlState, now: Now): List<ControlEffect> {
+        val startedAt = state.startedAt ?: now.monotonic.also { state.startedAt = it }
+        val crashed = state.self?.member?.state == MemberState.ACTIVE
+        val wait = state.times.takeoverWait * if (crashed) WAITS_AFTER_CRASH else 1
+        val waited = now.monotonic - startedAt >= wait
+        if (!waited || MemberWrite.PURPOSE in state.pending) return emptyList()
+        val body = MemberBody(
+            instance = state.identity.instance,
+            domain = state.identity.domain,
+            controller = state.identity.controller,
+            router = state.identity.router,
+            generation = (state.self?.member?.generation ?: 0) + 1,
+        )
+        return MemberWrite.submit(state, SuccessorSystem.withSuccessors(state, body, now), now)
+    }
+
+    private fun leave(state: ControlState, now: Now): List<ControlEffect> {
+        val self = state.self ?: return emptyList<ControlEffect>().also { state.phase = Phase.LEFT }
+        return when {
+            self.member.state == MemberState.ACTIVE ->
+                MemberWrite.submit(state, self.member.copy(state = MemberState.LEAVING), now)
+
+            state.ownGates().isEmpty() -> sayGoodbye(state, self.member, now)
+            else -> emptyList()
+        }
+    }
+
+    private fun sayGoodbye(state: ControlState, member: MemberBody, now: Now): List<ControlEffect> {
+        val key = RowKeys.member(member.instance)
+        val goodbye = member.copy(state = MemberState.GONE, successors = emptyList(), remoteSuccessors = emptyList())
+        val change = Change(
+            "goodbye",
+            listOf(Condition(key, state.rows.version(key))),
+            listOf(Write(key, goodbye)),
+            state.audit("leave", member.instance.text, "leaving", "gone", now, "planned stop"),
+        )
+        return state.submit(change, now) { result, _ ->
+            if (result is CommitResult.Committed) state.phase = Phase.LEFT
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ServerSystem.kt
@@ -0,0 +1,66 @@
+/*
+ * Tells everyone, by rows, what the gates of this instance saw of their backend servers: servers that can't be
+ * reached, and request fingerprints that were in flight when a server crashed.
+ */
+package rhubarbspool.control
+
+import rhubarbspool.model.Now
+import rhubarbspool.model.ServerName
+import rhubarbspool.table.CommitResult
+import rhubarbspool.table.Condition
+import rhubarbspool.table.QuarantineBody
+import rhubarbspool.table.RowKeys
+import rhubarbspool.table.ServerBody
+import rhubarbspool.table.Write
+
+/** Writes the state of servers and the fingerprints of requests that crash them. */
+internal object ServerSystem : ControlSystem {
+    /** How long a server must be out of reach before its shards move. */
+    const val UNREACHABLE_MILLISECONDS: Long = 300
+
+    /** How long a fingerprint is kept after the last crash that it was in flight at. */
+    const val QUARANTINE_MILLISECONDS: Long = 600_000
+
+    override fun run(state: ControlState, now: Now): List<ControlEffect> {
+        if (state.phase != Phase.JOINED) return emptyList()
+        return state.ownGates().flatMap { reachability(state, it.gate.server, now) } + quarantines(state, now)
+    }
+
+    private fun reachability(state: ControlState, server: ServerName, now: Now): List<ControlEffect> {
+        val reachable = state.reachable[server] ?: return emptyList()
+        val key = RowKeys.server(server)
+        val written = state.rows.body<ServerBody>(key)?.reachable ?: true
+        val since = state.unreachableSince[server] ?: now.monotonic
+        val settled = reachable || now.monotonic - since >= UNREACHABLE_MILLISECONDS
+        val service = state.rows.gates[server]?.gate?.service
+        if (written == reachable || !settled || service == null) return emptyList()
+        val gateKey = RowKeys.gate(server)
+        val change = Change(
+            "server/$server",
+            listOf(Condition(key, state.rows.version(key)), Condition(gateKey, state.rows.version(gateKey))),
+            listOf(Write(key, ServerBody(server, service, reachable))),
+            state.audit("server", server.text, "reachable=$written", "reachable=$reachable", now, "seen by its gate"),
+        )
+        return state.submit(change, now)
+    }
+
+    private fun quarantines(state: ControlState, now: Now): List<ControlEffect> {
+        val open = state.crashes.toList()
+        return open.flatMap { notice ->
+            val key = RowKeys.quarantine(notice.service, notice.fingerprint)
+            val old = state.rows.body<QuarantineBody>(key)?.takeIf { it.expiresAtMilliseconds > now.wall }
+            val crashes = (old?.crashes ?: 0) + 1
+            val body =
+                QuarantineBody(notice.service, notice.fingerprint, crashes, now.wall + QUARANTINE_MILLISECONDS)
+            val change = Change(
+                key,
+                listOf(Condition(key, state.rows.version(key))),
+                listOf(Write(key, body)),
+                state.audit("crash", key, "crashes=${crashes - 1}", "crashes=$crashes", now, "in flight at a crash"),
+            )
+            state.submit(change, now) { result, _ ->
+                if (result is CommitResult.Committed) state.crashes.remove(notice)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/TakeoverSystem.kt
@@ -0,0 +1,78 @@
+/*
+ * Takes over from holders that name this instance and have not asked for a promise for the takeover wait.
+ * The write is conditional on the holder's row, on each gate and on this instance's own row, so that a
+ * successor that was itself replaced changes nothing.
+ */
+package rhubarbspool.control
+
+import rhubarbspool.lease.LeaseScope
+import rhubarbspool.model.Now
+import rhubarbspool.table.Condition
+import rhubarbspool.table.GateEntry
+import rhubarbspool.table.MemberBody
+import rhubarbspool.table.MemberEntry
+import rhubarbspool.table.MemberState
+import rhubarbspool.table.RowKeys
+import rhubarbspool.table.Successor
+import rhubarbspool.table.Write
+
+/** Takes gates over by time. */
+internal object TakeoverSystem : ControlSystem {
+    override fun run(state: ControlState, now: Now): List<ControlEffect> {
+        if (state.phase != Phase.JOINED) return emptyList()
+        val me = Successor(state.identity.instance, state.generation)
+        return state.rows.members.values
+            .filter { it.member.instance != me.instance && it.member.state != MemberState.GONE }
+            .flatMap { holder -> watch(state, holder, me, now) }
+    }
+
+    private fun watch(state: ControlState, holder: MemberEntry, me: Successor, now: Now): List<ControlEffect> {
+        val member = holder.member
+        val local = me in member.successors && isDue(state, holder, LeaseScope.LOCAL, state.times.takeoverWait, now)
+        if (me !in member.successors) state.promises.unnamed(member.instance, LeaseScope.LOCAL)
+        if (local) return takeOver(state, holder, LeaseScope.LOCAL, now)
+        val remote = me in member.remoteSuccessors && member.remoteWaitMilliseconds > 0 &&
+            isDue(state, holder, LeaseScope.REMOTE, member.remoteWaitMilliseconds, now)
+        if (me !in member.remoteSuccessors) state.promises.unnamed(member.instance, LeaseScope.REMOTE)
+        return if (remote) takeOver(state, holder, LeaseScope.REMOTE, now) else emptyList()
+    }
+
+    private fun isDue(state: ControlState, holder: MemberEntry, scope: LeaseScope, wait: Long, now: Now): Boolean =
+        state.promises.takeoverDue(holder.member.instance, scope, holder.version, wait, now.monotonic)
+
+    private fun takeOver(state: ControlState, holder: MemberEntry, scope: LeaseScope, now: Now): List<ControlEffect> {
+        val gates = state.rows.gates.values.filter { belongsTo(state, it, holder.member, scope) }
+        if (scope == LeaseScope.REMOTE && gates.isEmpty()) return emptyList()
+        val selfKey = RowKeys.member(state.identity.instance)
+        val holderKey = RowKeys.member(holder.member.instance)
+        val conditions = listOf(Condition(holderKey, holder.version), Condition(selfKey, state.rows.version(selfKey))) +
+            gates.map { Condition(RowKeys.gate(it.gate.server), it.version) }
+        val suspectUntil = suspectUntil(state, holder.member, now)
+        val writes = listOf(Write(holderKey, replaced(holder.member, scope))) +
+            gates.map { Write(RowKeys.gate(it.gate.server), GateSystem.claimedBy(state, it, suspectUntil)) }
+        val audit = state.audit("takeover", holder.member.instance.text, "holder", "gone", now, "no sign of life ($scope)")
+        state.promises.attempting(holder.member.instance)
+        return state.submit(Change("takeover/${holder.member.instance}", conditions, writes, audit), now) { _, _ ->
+            state.promises.resolved(holder.member.instance)
+        }
+    }
+
+    private fun belongsTo(state: ControlState, entry: GateEntry, member: MemberBody, scope: LeaseScope): Boolean {
+        val held = entry.gate.holder == member.instance && entry.gate.generation == member.generation
+        val moves = state.configurations[entry.gate.service]?.configuration?.moveAfterMilliseconds != null
+        return held && (scope == LeaseScope.LOCAL || moves)
+    }
+
+    /** A remote takeover leaves the holder its other gates, yet writes its row, so that a regain must read first. */
+    private fun replaced(member: MemberBody, scope: LeaseScope): MemberBody = when (scope) {
+        LeaseScope.LOCAL ->
+            member.copy(state = MemberState.GONE, successors = emptyList(), remoteSuccessors = emptyList())
+        LeaseScope.REMOTE -> member
+    }
+
+    private fun suspectUntil(state: ControlState, member: MemberBody, now: Now): Long {
+        if (!state.promises.hasUnrecordedRuns(member.instance)) return 0
+        val window = state.configurations.values.maxOfOrNull { it.configuration.repeatWindowMilliseconds } ?: 0
+        return now.wall + window
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/errors/ErrorKind.kt
@@ -0,0 +1,61 @@
+/*
+ * The closed list of errors that a caller can see, and the one table from an error to its answer.
+ *
+ * Every answer that the system makes up itself says what became of the request: a caller may repeat a
+ * request that was certainly not run, must not blindly repeat one whose outcome is unknown.
+ */
+package rhubarbspool.errors
+
+/** What became of the request behind an answer that the system made up itself. */
+enum class Outcome(val label: String) {
+    /** No byte of the request could have reached a backend server. */
+    NOT_RUN("not-run"),
+
+    /** A backend server refused the request before running it. */
+    REJECTED_BY_SERVER("rejected-by-server"),
+
+    /** The request may have run; nobody can tell. */
+    UNKNOWN("unknown"),
+}
+
+/**
+ * Every error that a caller can see.
+ *
+ * @property status HTTP status of the answer.
+ * @property outcome what became of the request.
+ * @property retryable whether the same request may succeed later, so that the answer names when to come back.
+ * @property summary one sentence for the answer's body.
+ */
+enum class ErrorKind(val status: Int, val outcome: Outcome, val retryable: Boolean, val summary: String) {
+    MALFORMED_REQUEST(400, Outcome.NOT_RUN, false, "The request is not valid HTTP."),
+    REQUEST_ID_MISSING(400, Outcome.NOT_RUN, false, "This route runs once only and needs an Idempotency-Key header."),
+    REQUEST_ID_REUSED(422, Outcome.NOT_RUN, false, "The Idempotency-Key was used before for another request."),
+    UNKNOWN_SERVICE(404, Outcome.NOT_RUN, false, "No such service is configured."),
+    UNKNOWN_ROUTE(404, Outcome.NOT_RUN, false, "The service has no such route."),
+    METHOD_NOT_ALLOWED(405, Outcome.NOT_RUN, false, "The route exists under another method."),
+    KEY_MISSING(400, Outcome.NOT_RUN, false, "The route needs a key and the request names none."),
+    HEADERS_TOO_LARGE(431, Outcome.NOT_RUN, false, "The request line or the headers are too large."),
+    BODY_TOO_LARGE(413, Outcome.NOT_RUN, false, "The request body is too large."),
+    EXPECTATION_FAILED(417, Outcome.NOT_RUN, false, "The Expect header can't be met."),
+    TOO_MANY_CONNECTIONS(503, Outcome.NOT_RUN, true, "The instance has no room for more connections."),
+    OVERLOADED(503, Outcome.NOT_RUN, true, "The server of this key can't meet the deadline."),
+    DEADLINE_BEFORE_RUN(503, Outcome.NOT_RUN, true, "The deadline passed before the request was run."),
+    NO_OWNER(503, Outcome.NOT_RUN, true, "No server owns the key at the moment."),
+    GATE_UNREACHABLE(503, Outcome.NOT_RUN, true, "The instance in charge of the key's server can't be reached."),
+    GATE_MOVED(503, Outcome.NOT_RUN, true, "The instance in charge of the key's server is changing."),
+    SERVER_UNREACHABLE(503, Outcome.NOT_RUN, true, "The key's server can't be reached."),
+    RECORD_UNAVAILABLE(503, Outcome.NOT_RUN, true, "A once-only request can't be recorded at the moment."),
+    NO_CONFIGURATION(503, Outcome.NOT_RUN, true, "The instance has no configuration yet."),
+    STOPPING(503, Outcome.NOT_RUN, true, "The instance is being stopped."),
+    QUARANTINED(503, Outcome.NOT_RUN, true, "This request stopped several servers and is not run for now."),
+    REJECTED(503, Outcome.REJECTED_BY_SERVER, true, "The server refused the request before running it."),
+    OUTCOME_UNKNOWN(504, Outcome.UNKNOWN, false, "The request may have run; its outcome is not known."),
+    GATE_LOST(504, Outcome.UNKNOWN, true, "The instance in charge stopped answering; the request may have run."),
+    DEADLINE_AFTER_RUN(504, Outcome.UNKNOWN, false, "The deadline passed while the request was running."),
+    ANSWER_CUT_SHORT(502, Outcome.UNKNOWN, false, "The server's answer ended before it was whole."),
+    ANSWER_INVALID(502, Outcome.UNKNOWN, false, "The server's answer was not valid HTTP."),
+    INTERNAL(500, Outcome.UNKNOWN, false, "An unexpected fault; the log has its cause."),
+}
+
+/** An error of [kind] with a [detail] for the log and, where known, when to come back. */
+data class RequestError(val kind: ErrorKind, val detail: String = "", val retryAfterMilliseconds: Long? = null)
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/routing/DomainReachability.kt
@@ -0,0 +1,32 @@
+/*
+ * Tells a lost instance, which is replaced within a second, from a failure domain that is cut off, where waiting
+ * is hopeless.
+ */
+package rhubarbspool.routing
+
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.InstanceName
+
+/** Which instances of other failure domains could not be reached lately. Times are monotonic milliseconds. */
+class DomainReachability {
+    private val failures = HashMap<FailureDomainName, HashMap<InstanceName, Long>>()
+
+    /** An instance of [domain] answered. */
+    fun answered(domain: FailureDomainName) {
+        failures[domain]?.clear()
+    }
+
+    /** [instance] of [domain] could not be reached at [now]. */
+    fun failed(domain: FailureDomainName, instance: InstanceName, now: Long) {
+        failures.getOrPut(domain) { HashMap() }[instance] = now
+    }
+
+    /** Whether several instances of [domain], and nothing but failures, were seen shortly before [now]. */
+    fun isCutOff(domain: FailureDomainName, now: Long): Boolean =
+        (failures[domain]?.values?.count { now - it < MEMORY_MILLISECONDS } ?: 0) >= INSTANCES
+
+    private companion object {
+        const val MEMORY_MILLISECONDS = 3_000L
+        const val INSTANCES = 2
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/routing/RouteTable.kt
@@ -0,0 +1,54 @@
+/*
+ * From a caller's method and path to the service, the route and the key.
+ */
+package rhubarbspool.routing
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import rhubarbspool.configuration.Route
+import rhubarbspool.configuration.ServiceConfiguration
+import rhubarbspool.errors.ErrorKind
+import rhubarbspool.errors.RequestError
+import rhubarbspool.model.ServiceName
+
+/** A request's route and key; [serverPath] is the path with its query as the backend server expects it. */
+data class RouteMatch(
+    val configuration: ServiceConfiguration,
+    val route: Route,
+    val key: String,
+    val serverPath: String,
+)
+
+/** Matches requests of the form `/<service>/<path of a route>`. */
+class RouteTable(private val services: Map<ServiceName, ServiceConfiguration>) {
+    /** Finds the route of [method] on [target], the path with its query. */
+    fun match(method: String, target: String): Either<RequestError, RouteMatch> {
+        if (services.isEmpty()) return RequestError(ErrorKind.NO_CONFIGURATION, retryAfterMilliseconds = RETRY_MILLISECONDS).left()
+        val path = target.substringBefore('?')
+        val name = path.removePrefix("/").substringBefore('/')
+        val configuration = services[ServiceName(name)] ?: return RequestError(ErrorKind.UNKNOWN_SERVICE, name).left()
+        val serverPath = path.removePrefix("/$name")
+        val matches = configuration.routes.mapNotNull { route -> keyOf(route.path, serverPath)?.let { route to it } }
+        val chosen = matches.firstOrNull { it.first.method == method }
+        return when {
+            matches.isEmpty() -> RequestError(ErrorKind.UNKNOWN_ROUTE, serverPath).left()
+            chosen == null -> RequestError(ErrorKind.METHOD_NOT_ALLOWED, method).left()
+            chosen.second.isEmpty() -> RequestError(ErrorKind.KEY_MISSING, serverPath).left()
+            else -> RouteMatch(configuration, chosen.first, chosen.second, target.removePrefix("/$name")).right()
+        }
+    }
+
+    private fun keyOf(template: String, path: String): String? {
+        val wanted = template.split('/')
+        val found = path.split('/')
+        if (wanted.size != found.size) return null
+        val agrees = wanted.indices.all { wanted[it] == KEY || wanted[it] == found[it] }
+        return if (agrees) found[wanted.indexOf(KEY)] else null
+    }
+
+    private companion object {
+        const val KEY = "{key}"
+        const val RETRY_MILLISECONDS = 1_000L
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/table/RowTable.kt
@@ -0,0 +1,135 @@
+/*
+ * An instance's copy of the table's shared rows, with typed views kept up to date as rows arrive. The highest
+ * version of a row wins, whatever order rows arrive in, so the copy never goes back.
+ */
+package rhubarbspool.table
+
+import com.google.common.hash.Hashing
+import rhubarbspool.model.InstanceName
+import rhubarbspool.model.ServerName
+import rhubarbspool.model.ServiceName
+import java.util.TreeMap
+import kotlin.reflect.KClass
+
+/** A shard's row together with its version. */
+data class ShardEntry(val key: String, val version: Long, val shard: ShardBody)
+
+/** A gate's row together with its version. */
+data class GateEntry(val version: Long, val gate: GateBody)
+
+/** A member's row together with its version. */
+data class MemberEntry(val version: Long, val member: MemberBody)
+
+/** Copy of the shared rows; holds only rows that the table confirmed. */
+class RowTable {
+    private val rows = HashMap<String, VersionedRow>()
+    private val memberEntries = sortedMapOf<InstanceName, MemberEntry>()
+    private val gateEntries = sortedMapOf<ServerName, GateEntry>()
+    private val shardEntries = HashMap<ServerName, HashMap<String, ShardEntry>>()
+    private val buckets = LongArray(BUCKETS)
+    private val keysByChange = TreeMap<Long, String>()
+    private val changeOfKey = HashMap<String, Long>()
+    private val others = HashMap<KClass<out RowBody>, HashMap<String, RowBody>>()
+
+    /** Counts accepted rows; two equal counts of one table mean that nothing changed in between. */
+    var changes: Long = 0
+        private set
+
+    val size: Int get() = rows.size
+
+    /** Members by name, those that left included. */
+    val members: Map<InstanceName, MemberEntry> get() = memberEntries
+
+    /** Gates by server. */
+    val gates: Map<ServerName, GateEntry> get() = gateEntries
+
+    /** Version of the row under [key], 0 when there is none. */
+    fun version(key: String): Long = rows[key]?.version ?: 0
+
+    /** The row under [key]; null when there never was one. */
+    fun row(key: String): VersionedRow? = rows[key]
+
+    /** The body under [key] when it exists and is a [T]. */
+    inline fun <reified T : RowBody> body(key: String): T? = row(key)?.body as? T
+
+    /** All live configuration rows. */
+    fun configurations(): List<ConfigurationBody> =
+        others[ConfigurationBody::class]?.values?.map { it as ConfigurationBody } ?: emptyList()
+
+    /** All live drain orders. */
+    fun drains(): List<DrainBody> = others[DrainBody::class]?.values?.map { it as DrainBody } ?: emptyList()
+
+    /** All live quarantine rows. */
+    fun quarantines(): List<QuarantineBody> =
+        others[QuarantineBody::class]?.values?.map { it as QuarantineBody } ?: emptyList()
+
+    /** Rows accepted after the change numbered [change], oldest first. */
+    fun changedSince(change: Long): List<VersionedRow> =
+        keysByChange.tailMap(change, false).values.map { rows.getValue(it) }
+
+    /** Every row, deleted ones included. */
+    fun allRows(): Collection<VersionedRow> = rows.values
+
+    /** Shards that [server] owns. */
+    fun shardsOf(server: ServerName): Collection<ShardEntry> = shardEntries[server]?.values ?: emptyList()
+
+    /** Shards of [service], hot keys included. */
+    fun shardsOf(service: ServiceName): List<ShardEntry> =
+        shardEntries.values.flatMap { it.values }.filter { it.shard.service == service }
+
+    /** Takes [row] in when it is newer than the copy; says whether it was. */
+    fun merge(row: VersionedRow): Boolean {
+        val old = rows[row.key]
+        if (old != null && old.version >= row.version) return false
+        rows[row.key] = row
+        old?.let { toggle(it) }
+        toggle(row)
+        unindex(old)
+        index(row)
+        changes++
+        changeOfKey.put(row.key, changes)?.let(keysByChange::remove)
+        keysByChange[changes] = row.key
+        return true
+    }
+
+    /** Hash of each bucket of rows: equal for equal sets of rows, independent of order. */
+    fun digest(): List<Long> = buckets.toList()
+
+    /** Keys and versions of the rows in [bucket]. */
+    fun versionsIn(bucket: Int): List<Condition> =
+        rows.values.filter { bucketOf(it.key) == bucket }.map { Condition(it.key, it.version) }
+
+    private fun toggle(row: VersionedRow) {
+        val hash = Hashing.murmur3_128().newHasher().putUnencodedChars(row.key).putLong(row.version).hash()
+        buckets[bucketOf(row.key)] = buckets[bucketOf(row.key)] xor hash.asLong()
+    }
+
+    private fun index(row: VersionedRow) {
+        when (val body = row.body) {
+            is MemberBody -> memberEntries[body.instance] = MemberEntry(row.version, body)
+            is GateBody -> gateEntries[body.server] = GateEntry(row.version, body)
+            is ShardBody ->
+                shardEntries.getOrPut(body.server) { HashMap() }[row.key] = ShardEntry(row.key, row.version, body)
+            null -> Unit
+            else -> others.getOrPut(body::class) { HashMap() }[row.key] = body
+        }
+    }
+
+    private fun unindex(row: VersionedRow?) {
+        when (val body = row?.body) {
+            is MemberBody -> memberEntries.remove(body.instance)
+            is GateBody -> gateEntries.remove(body.server)
+            is ShardBody -> shardEntries[body.server]?.remove(row.key)
+            null -> Unit
+            else -> others[body::class]?.remove(row.key)
+        }
+    }
+
+    companion object {
+        /** Number of buckets of the digest. */
+        const val BUCKETS: Int = 32
+
+        /** Bucket that the row under [key] belongs to. */
+        fun bucketOf(key: String): Int = Math.floorMod(key.hashCode(), BUCKETS)
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/table/Transaction.kt
@@ -0,0 +1,48 @@
+/*
+ * Transactions on the platform's table service, conditional on the versions of rows.
+ */
+package rhubarbspool.table
+
+/**
+ * A row as the table has it.
+ *
+ * @property version the table's commit number of the row's last write; grows over the whole table.
+ * @property writeId the write that made this version.
+ * @property body null for a deleted row.
+ */
+data class VersionedRow(val key: String, val version: Long, val writeId: String, val body: RowBody?)
+
+/** Requires that the row under [key] has [version]; 0 requires that it never existed. */
+data class Condition(val key: String, val version: Long)
+
+/** Puts [body] under [key], or deletes the row when null; the table drops the row after [expireAfterSeconds]. */
+data class Write(val key: String, val body: RowBody?, val expireAfterSeconds: Long? = null)
+
+/** Writes that take effect together, or not at all when a condition fails. */
+data class Transaction(val writeId: String, val conditions: List<Condition>, val writes: List<Write>)
+
+/** What the table said to a transaction. */
+sealed interface CommitResult {
+    /** The writes took effect; [rows] are the new versions. */
+    data class Committed(val rows: List<VersionedRow>) : CommitResult
+
+    /** A condition failed; [rows] are the current versions of the rows that the transaction named. */
+    data class Conflict(val rows: List<VersionedRow>) : CommitResult
+
+    /** No answer: the writes may have taken effect, may still, or may never. */
+    data object Unknown : CommitResult
+}
+
+/**
+ * Resolves a conflict that this very transaction caused by an earlier try whose reply was lost: the
+ * transaction took effect when every row that it writes carries its write id.
+ */
+fun CommitResult.resolve(transaction: Transaction): CommitResult = when (this) {
+    is CommitResult.Conflict -> {
+        val found = rows.associateBy { it.key }
+        val mine = transaction.writes.all { found[it.key]?.writeId == transaction.writeId }
+        if (mine) CommitResult.Committed(transaction.writes.mapNotNull { found[it.key] }) else this
+    }
+
+    else -> this
+}
--- /dev/null
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/DaemonSettings.kt
@@ -0,0 +1,71 @@
+/*
+ * Settings of the two daemons: who the process is, where it listens, and where the platform's services are.
+ * What concerns services is configuration, kept with the platform.
+ */
+package rhubarbspool.edge
+
+import arrow.core.Either
+import rhubarbspool.control.Identity
+import rhubarbspool.model.Address
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.InstanceName
+import rhubarbspool.settings.Fault
+import rhubarbspool.settings.SettingsReader
+
+/** Addresses of the platform's services. */
+data class PlatformSettings(val table: Address, val objects: Address, val instances: Address)
+
+/**
+ * Settings of one instance, shared by its router and its controller.
+ *
+ * @property callers where callers connect.
+ * @property routerObservation where the router serves health and metrics.
+ * @property controllerObservation where the controller serves health and metrics.
+ * @property callerConnections most connections of callers at once.
+ * @property drainMilliseconds longest time that a planned stop waits for requests in flight.
+ */
+data class DaemonSettings(
+    val identity: Identity,
+    val callers: Address,
+    val routerObservation: Address,
+    val controllerObservation: Address,
+    val platform: PlatformSettings,
+    val callerConnections: Int,
+    val drainMilliseconds: Long,
+) {
+    companion object {
+        private const val NAME_SHAPE = "lower-case letters, digits and hyphens, at most 63"
+        private const val MAXIMUM_CONNECTIONS = 1_000_000L
+        private const val DEFAULT_CONNECTIONS = 10_000L
+        private const val MAXIMUM_DRAIN_MILLISECONDS = 3_600_000L
+        private const val DEFAULT_DRAIN_MILLISECONDS = 30_000L
+        private val NAME = Regex("[a-z0-9][a-z0-9-]{0,62}")
+
+        /** Reads [document]; every fault when there is any. */
+        fun read(document: String): Either<List<Fault>, DaemonSettings> = SettingsReader.read(document) { reader ->
+            DaemonSettings(
+                identity = Identity(
+                    InstanceName(reader.text("instance", NAME, NAME_SHAPE)),
+                    FailureDomainName(reader.text("domain", NAME, NAME_SHAPE)),
+                    controller = reader.address("controller"),
+                    router = reader.address("router"),
+                ),
+                callers = reader.address("callers"),
+                routerObservation = reader.address("routerObservation"),
+                controllerObservation = reader.address("controllerObservation"),
+                platform = reader.section("platform", ::readPlatform),
+                callerConnections =
+                reader.number("callerConnections", 1L..MAXIMUM_CONNECTIONS, DEFAULT_CONNECTIONS).toInt(),
+                drainMilliseconds =
+                reader.duration("drain", 0L..MAXIMUM_DRAIN_MILLISECONDS, DEFAULT_DRAIN_MILLISECONDS),
+            )
+        }
+
+        /** Reads the platform's addresses. */
+        fun readPlatform(reader: SettingsReader) = PlatformSettings(
+            reader.address("table"),
+            reader.address("objects"),
+            reader.address("instances"),
+        )
+    }
+}
--- /dev/null
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
@@ -0,0 +1,130 @@
+/*
+ * A small HTTP client over Netty for requests and answers that fit in memory: the platform's services, health
+ * endpoints, and the operators' command line. Connections are kept and used again.
+ */
+package rhubarbspool.edge
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import rhubarbspool.model.Address
+import java.io.IOException
+import java.util.ArrayDeque
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+
+/** A whole answer. */
+data class HttpAnswer(val status: Int, val headers: Map<String, String>, val body: String)
+
+/** A whole request. */
+data class HttpCall(
+    val method: String,
+    val path: String,
+    val body: String = "",
+    val headers: Map<String, String> = emptyMap(),
+)
+
+/** Sends requests; every answer is bounded in size and in time. */
+class HttpClient(private val group: EventLoopGroup, private val timeoutMilliseconds: Long) {
+    private val idle = ConcurrentHashMap<Address, ArrayDeque<Channel>>()
+
+    /** Sends [call] to [address]; fails with an exception when no whole answer came in time. */
+    fun send(address: Address, call: HttpCall): CompletableFuture<HttpAnswer> {
+        val answer = CompletableFuture<HttpAnswer>()
+        val kept = takeIdle(address)
+        if (kept != null) {
+            exchange(kept, address, call, answer)
+        } else {
+            connect(address, call, answer)
+        }
+        val timer = group.next().schedule({ answer.completeExceptionally(TimeoutException("$address")) }, timeoutMilliseconds, TimeUnit.MILLISECONDS)
+        answer.whenComplete { _, _ -> timer.cancel(false) }
+        return answer
+    }
+
+    private fun takeIdle(address: Address): Channel? {
+        val channels = idle[address] ?: return null
+        return synchronized(channels) { generateSequence { channels.pollFirst() }.firstOrNull { it.isActive } }
+    }
+
+    private fun connect(address: Address, call: HttpCall, answer: CompletableFuture<HttpAnswer>) {
+        val connected = Bootstrap().group(group).channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMilliseconds.toInt())
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAXIMUM_ANSWER_BYTES))
+                }
+            })
+            .connect(address.host, address.port)
+        connected.addListener {
+            if (it.isSuccess) exchange(connected.channel(), address, call, answer) else answer.completeExceptionally(it.cause())
+        }
+    }
+
+    private fun exchange(channel: Channel, address: Address, call: HttpCall, answer: CompletableFuture<HttpAnswer>) {
+        val handler = AnswerHandler(address, answer)
+        channel.pipeline().addLast(handler)
+        answer.whenComplete { _, failure -> if (failure != null) channel.close() }
+        channel.writeAndFlush(requestOf(address, call)).addListener {
+            if (!it.isSuccess) answer.completeExceptionally(it.cause())
+        }
+    }
+
+    private fun requestOf(address: Address, call: HttpCall): DefaultFullHttpRequest {
+        val body = Unpooled.copiedBuffer(call.body, Charsets.UTF_8)
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.path, body)
+        request.headers().set(HttpHeaderNames.HOST, address.toString())
+        call.headers.forEach { (name, value) -> request.headers().set(name, value) }
+        HttpUtil.setContentLength(request, body.readableBytes().toLong())
+        return request
+    }
+
+    private inner class AnswerHandler(
+        private val address: Address,
+        private val answer: CompletableFuture<HttpAnswer>,
+    ) : SimpleChannelInboundHandler<FullHttpResponse>() {
+        override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
+            val headers = response.headers().associate { it.key.lowercase() to it.value }
+            val body = response.content().toString(Charsets.UTF_8)
+            context.pipeline().remove(this)
+            if (HttpUtil.isKeepAlive(response) && !answer.isDone) {
+                val channels = idle.computeIfAbsent(address) { ArrayDeque() }
+                synchronized(channels) { channels.addFirst(context.channel()) }
+            } else {
+                context.close()
+            }
+            answer.complete(HttpAnswer(response.status().code(), headers, body))
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            answer.completeExceptionally(IOException("$address closed the connection"))
+        }
+
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            answer.completeExceptionally(cause)
+            context.close()
+        }
+    }
+
+    private companion object {
+        const val MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpService.kt
@@ -0,0 +1,83 @@
+/*
+ * A small HTTP server over Netty for requests that fit in memory: health and metrics endpoints, and the
+ * stand-ins of the platform.
+ */
+package rhubarbspool.edge
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import rhubarbspool.model.Address
+import java.util.concurrent.CompletableFuture
+
+/** Answers one request. */
+fun interface HttpHandler {
+    /** The answer to [call], now or later; a failed future closes the connection without an answer. */
+    fun handle(call: HttpCall): CompletableFuture<HttpAnswer>
+}
+
+/** Serves [handler]. */
+class HttpService(private val group: EventLoopGroup, private val handler: HttpHandler) {
+    /** Listens on [address]; the channel stops listening when it is closed. */
+    fun listen(address: Address): Channel = ServerBootstrap().group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .childHandler(object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                channel.pipeline()
+                    .addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_REQUEST_BYTES), Exchange(handler))
+            }
+        })
+        .bind(address.host, address.port).sync().channel()
+
+    private class Exchange(private val handler: HttpHandler) : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val keepAlive = HttpUtil.isKeepAlive(request)
+            val call = HttpCall(
+                request.method().name(),
+                request.uri(),
+                request.content().toString(Charsets.UTF_8),
+                request.headers().associate { it.key.lowercase() to it.value },
+            )
+            handler.handle(call).whenComplete { answer, failure ->
+                if (failure != null) context.close() else write(context, answer, keepAlive)
+            }
+        }
+
+        private fun write(context: ChannelHandlerContext, answer: HttpAnswer, keepAlive: Boolean) {
+            val response = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(answer.status),
+                Unpooled.copiedBuffer(answer.body, Charsets.UTF_8),
+            )
+            answer.headers.forEach { (name, value) -> response.headers().set(name, value) }
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
+            HttpUtil.setKeepAlive(response, keepAlive)
+            val written = context.writeAndFlush(response)
+            if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        @Deprecated("Overrides a deprecated method of Netty")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private companion object {
+        const val MAXIMUM_REQUEST_BYTES = 16 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerEntry.kt
@@ -0,0 +1,99 @@
+/*
+ * Turns the head of a caller's HTTP request into a request for a route, or into the error that answers it.
+ */
+package rhubarbspool.router
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpUtil
+import rhubarbspool.configuration.RunKind
+import rhubarbspool.edge.ProcessClock
+import rhubarbspool.errors.ErrorKind
+import rhubarbspool.errors.RequestError
+import rhubarbspool.routing.RouteMatch
+
+/** The head of a request that was matched to a route; its body follows. */
+internal data class AcceptedHead(
+    val match: RouteMatch,
+    val headers: List<Header>,
+    val caller: String,
+    val requestId: String?,
+    val deadlineAt: Long,
+) {
+    /** The whole request. */
+    fun withBody(body: ByteArray) = IncomingRequest(
+        match.configuration,
+        match.route,
+        match.key,
+        match.serverPath,
+        headers,
+        body,
+        caller,
+        requestId,
+        deadlineAt,
+    )
+}
+
+/** Entry of callers' requests. */
+internal class CallerEntry(
+    private val context: RouterContext,
+    private val flow: RequestFlow,
+) {
+    /** Whether the instance is being stopped, so that connections are closed after their next answer. */
+    var isStopping: Boolean = false
+
+    /** Metrics of the router. */
+    val metrics: RouterMetrics get() = context.metrics
+
+    /** Matches the head of a request from [peer]. */
+    fun accept(request: HttpRequest, peer: String): Either<RequestError, AcceptedHead> =
+        checkExpectation(request)
+            .flatMap { context.view.routes.match(request.method().name(), request.uri()) }
+            .flatMap { checkLength(request, it) }
+            .flatMap { checkRequestId(request, it) }
+            .map { head(request, it, peer) }
+
+    /** Starts a whole request. */
+    fun start(request: IncomingRequest, sink: AnswerSink): Ticket = flow.start(request, sink)
+
+    private fun checkExpectation(request: HttpRequest): Either<RequestError, Unit> {
+        val expectation = request.headers()[HttpHeaderNames.EXPECT]
+        val known = expectation == null || expectation.equals("100-continue", ignoreCase = true)
+        return if (known) Unit.right() else RequestError(ErrorKind.EXPECTATION_FAILED).left()
+    }
+
+    private fun checkLength(request: HttpRequest, match: RouteMatch): Either<RequestError, RouteMatch> {
+        val tooLong = HttpUtil.getContentLength(request, 0L) > match.configuration.limits.requestBodyBytes
+        return if (tooLong) RequestError(ErrorKind.BODY_TOO_LARGE).left() else match.right()
+    }
+
+    private fun checkRequestId(request: HttpRequest, match: RouteMatch): Either<RequestError, RouteMatch> {
+        val id = request.headers()[REQUEST_ID].orEmpty()
+        val usable = match.route.kind == RunKind.REPEATABLE || REQUEST_ID_SHAPE.matches(id)
+        return if (usable) match.right() else RequestError(ErrorKind.REQUEST_ID_MISSING).left()
+    }
+
+    private fun head(request: HttpRequest, match: RouteMatch, peer: String): AcceptedHead {
+        val wanted = request.headers()[DEADLINE]?.toLongOrNull()?.coerceAtLeast(0)
+        val allowed = minOf(wanted ?: match.route.deadlineMilliseconds, match.route.deadlineMilliseconds)
+        val passedOn = request.headers().filterNot { ServerHeaders.isHopByHop(it.key) }
+        return AcceptedHead(
+            match,
+            passedOn.map { Header(it.key, it.value) },
+            caller = request.headers()[CALLER] ?: peer,
+            requestId = request.headers()[REQUEST_ID],
+            deadlineAt = ProcessClock.monotonic() + allowed,
+        )
+    }
+
+    private companion object {
+        const val REQUEST_ID = "idempotency-key"
+        const val CALLER = "rhubarbspool-caller"
+        const val DEADLINE = "rhubarbspool-deadline-milliseconds"
+        val REQUEST_ID_SHAPE = Regex("[A-Za-z0-9._:-]{1,128}")
+    }
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/DrainWatch.kt
@@ -0,0 +1,26 @@
+/*
+ * Since when a backend server is ordered to be drained, by this process's clock.
+ */
+package rhubarbspool.router
+
+import rhubarbspool.configuration.BackendServer
+import rhubarbspool.model.ServerName
+import rhubarbspool.table.DrainBody
+import rhubarbspool.table.DrainKind
+import rhubarbspool.table.RowKeys
+import rhubarbspool.table.RowTable
+
+/** Remembers when drain orders were first seen in [rows]. */
+internal class DrainWatch(private val rows: RowTable) {
+    private val since = HashMap<ServerName, Long>()
+
+    /** Since when [server] or its failure domain is drained; null when neither is. */
+    fun since(server: BackendServer, now: Long): Long? {
+        val ordered = isDraining(DrainKind.SERVER, server.name.text) || isDraining(DrainKind.DOMAIN, server.domain.text)
+        if (!ordered) since.remove(server.name)
+        return if (ordered) since.getOrPut(server.name) { now } else null
+    }
+
+    private fun isDraining(kind: DrainKind, name: String): Boolean =
+        rows.body<DrainBody>(RowKeys.drain(kind, name))?.draining ?: false
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardService.kt
@@ -0,0 +1,119 @@
+/*
+ * Takes requests that other routers send on to a gate of this process.
+ */
+package rhubarbspool.router
+
+import com.google.protobuf.ByteString
+import io.grpc.stub.ServerCallStreamObserver
+import io.grpc.stub.StreamObserver
+import rhubarbspool.edge.ProcessClock
+import rhubarbspool.errors.ErrorKind
+import rhubarbspool.errors.RequestError
+import rhubarbspool.model.ServerName
+import rhubarbspool.model.ServiceName
+import rhubarbspool.protocol.ForwardChunk
+import rhubarbspool.protocol.ForwardHead
+import rhubarbspool.protocol.ForwardRefusal
+import rhubarbspool.protocol.ForwardRequest
+import rhubarbspool.protocol.GateGrpc
+import rhubarbspool.protocol.HeaderField
+
+/** The gate service of one router. */
+internal class ForwardService(private val context: RouterContext, private val gates: GateTable) : GateGrpc.GateImplBase() {
+    /** Requests of other routers that are under way. */
+    var inFlight: Int = 0
+        private set
+
+    override fun forward(message: ForwardRequest, observer: StreamObserver<ForwardChunk>) {
+        val stream = observer as ServerCallStreamObserver<ForwardChunk>
+        val sink = StreamSink(stream)
+        inFlight++
+        val ticket = requestOf(message)?.let { request ->
+            val host = gates[ServerName(message.server)]
+            if (host == null) {
+                sink.refuse(RequestError(ErrorKind.GATE_MOVED, retryAfterMilliseconds = RETRY_MILLISECONDS))
+                null
+            } else {
+                host.submit(request, sink)
+            }
+        }
+        if (ticket == null && !sink.isDone) sink.refuse(RequestError(ErrorKind.NO_CONFIGURATION, retryAfterMilliseconds = RETRY_MILLISECONDS))
+        stream.setOnCancelHandler {
+            sink.caller()
+            ticket?.cancel()
+        }
+    }
+
+    private fun requestOf(message: ForwardRequest): IncomingRequest? {
+        val configuration = context.view.configuration(ServiceName(message.service)) ?: return null
+        val route = configuration.routes.firstOrNull { it.name == message.route } ?: return null
+        return IncomingRequest(
+            configuration,
+            route,
+            message.key,
+            message.target,
+            message.headersList.map { Header(it.name, it.value) },
+            message.body.toByteArray(),
+            message.caller,
+            message.requestId.ifEmpty { null },
+            ProcessClock.monotonic() + message.remainingMilliseconds,
+        )
+    }
+
+    /** Writes an answer to the stream of the router that asked. */
+    private inner class StreamSink(private val stream: ServerCallStreamObserver<ForwardChunk>) : AnswerSink {
+        private val waiting = ArrayList<() -> Unit>()
+
+        var isDone = false
+            private set
+
+        init {
+            stream.setOnReadyHandler { waiting.toList().forEach { it() } }
+        }
+
+        override val isWritable: Boolean get() = stream.isReady
+
+        override fun onWritable(action: () -> Unit) {
+            waiting += action
+        }
+
+        override fun head(head: AnswerHead) {
+            val fields = head.headers.map { HeaderField.newBuilder().setName(it.name).setValue(it.value).build() }
+            send(ForwardChunk.newBuilder().setHead(ForwardHead.newBuilder().setStatus(head.status).addAllHeaders(fields).setServer(head.server)))
+        }
+
+        override fun body(bytes: ByteArray) = send(ForwardChunk.newBuilder().setBody(ByteString.copyFrom(bytes)))
+
+        override fun complete() {
+            send(ForwardChunk.newBuilder().setComplete(true))
+            done { stream.onCompleted() }
+        }
+
+        override fun abort() = done { stream.onError(io.grpc.Status.ABORTED.asRuntimeException()) }
+
+        override fun refuse(error: RequestError) {
+            val refusal = ForwardRefusal.newBuilder().setErrorKind(error.kind.name).setDetail(error.detail)
+                .setRetryAfterMilliseconds(error.retryAfterMilliseconds ?: -1)
+            send(ForwardChunk.newBuilder().setRefusal(refusal))
+            done { stream.onCompleted() }
+        }
+
+        /** The asking router has gone. */
+        fun caller() = done { }
+
+        private fun send(chunk: ForwardChunk.Builder) {
+            if (!isDone) stream.onNext(chunk.build())
+        }
+
+        private fun done(action: () -> Unit) {
+            if (isDone) return
+            isDone = true
+            inFlight--
+            action()
+        }
+    }
+
+    private companion object {
+        const val RETRY_MILLISECONDS = 500L
+    }
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateTable.kt
@@ -0,0 +1,81 @@
+/*
+ * The gates of this process, one for each backend server whose gate it holds or held until its work was done.
+ */
+package rhubarbspool.router
+
+import rhubarbspool.gate.CrashSuspects
+import rhubarbspool.model.ServerName
+import rhubarbspool.protocol.CrashReport
+import rhubarbspool.protocol.HotKeyReport
+import rhubarbspool.protocol.Release
+import rhubarbspool.protocol.RouterReport
+import rhubarbspool.protocol.ServerReport
+import rhubarbspool.table.QuarantineBody
+
+/** All gates of one router. */
+internal class GateTable(private val context: RouterContext) {
+    private val hosts = HashMap<ServerName, GateHost>()
+    private var seenChanges = -1L
+
+    /** The gate of [server] if it is open here or still at work. */
+    operator fun get(server: ServerName): GateHost? = hosts[server]
+
+    /** Whether no gate has work left. */
+    val isIdle: Boolean get() = hosts.values.all { it.isIdle }
+
+    /** Opens gates that the controller gave, lets all tick, and drops those that are done. */
+    fun tick(now: Long) {
+        val leases = context.view.gates
+        leases.keys.filter { it !in hosts }.forEach(::open)
+        hosts.forEach { (server, host) -> host.tick(leases[server], now) }
+        hosts.entries.removeAll { (server, host) -> server !in leases && host.isIdle }
+        learnQuarantines(now)
+    }
+
+    /** Follows changed configurations. */
+    fun reconfigure() = hosts.forEach { (server, host) -> configurationOf(server)?.let(host::reconfigure) }
+
+    /** Adds what the gates did and saw to [report]. */
+    fun report(report: RouterReport.Builder) {
+        context.view.gates.values.filter { it.releaseOrder != 0L && hosts[it.server]?.isReleased() != false }.forEach {
+            report.addReleasedGates(Release.newBuilder().setSubject(it.server.text).setOrder(it.releaseOrder))
+        }
+        context.view.releases.filterKeys { subject -> hosts.values.all { it.isShardReleased(subject) } }
+            .forEach { (subject, order) -> report.addReleasedShards(Release.newBuilder().setSubject(subject).setOrder(order)) }
+        hosts.forEach { (server, host) -> reportServer(report, server, host) }
+    }
+
+    private fun reportServer(report: RouterReport.Builder, server: ServerName, host: GateHost) {
+        val service = configurationOf(server)?.service?.text ?: return
+        host.available?.let { report.addServers(ServerReport.newBuilder().setServer(server.text).setReachable(it)) }
+        host.takeCrashes().forEach {
+            report.addCrashes(CrashReport.newBuilder().setService(service).setFingerprint(it))
+        }
+        host.hot.forEach {
+            report.addHotKeys(HotKeyReport.newBuilder().setService(service).setKey(it).setServer(server.text))
+        }
+    }
+
+    private fun open(server: ServerName) {
+        val configuration = configurationOf(server) ?: return
+        val backend = configuration.server(server) ?: return
+        hosts[server] = GateHost(context, backend, configuration)
+    }
+
+    private fun configurationOf(server: ServerName) =
+        context.view.configurations.values.firstOrNull { it.configuration.server(server) != null }?.configuration
+
+    private fun learnQuarantines(now: Long) {
+        val rows = context.view.rows
+        if (rows.changes == seenChanges) return
+        seenChanges = rows.changes
+        val wall = System.currentTimeMillis()
+        rows.quarantines().forEach { learn(it, context.suspects(it.service), now, wall) }
+    }
+
+    private fun learn(row: QuarantineBody, suspects: CrashSuspects, now: Long, wall: Long) {
+        if (row.releasedBy != null) return suspects.cleared(row.fingerprint)
+        val remaining = row.expiresAtMilliseconds - wall
+        if (remaining > 0) suspects.learned(row.fingerprint, row.crashes, now + remaining)
+    }
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/HotKeyCounter.kt
@@ -0,0 +1,37 @@
+/*
+ * Finds keys that take a large share of one server's work.
+ */
+package rhubarbspool.router
+
+/** Counts runs by key over fixed windows. Times are monotonic milliseconds. */
+internal class HotKeyCounter {
+    private var counts = HashMap<String, Int>()
+    private var total = 0
+    private var windowStart = 0L
+
+    /** Keys that were hot in the last whole window. */
+    var hot: Set<String> = emptySet()
+        private set
+
+    /** Counts a run for [key] at [now]. */
+    fun ran(key: String, now: Long) {
+        roll(now)
+        counts.merge(key, 1, Int::plus)
+        total++
+    }
+
+    /** Ends the window when its time is over. */
+    fun roll(now: Long) {
+        if (now - windowStart < WINDOW_MILLISECONDS) return
+        hot = counts.filterValues { it >= MINIMUM_RUNS && it * SHARE >= total }.keys.toSet()
+        counts = HashMap()
+        total = 0
+        windowStart = now
+    }
+
+    private companion object {
+        const val WINDOW_MILLISECONDS = 2_000L
+        const val MINIMUM_RUNS = 100
+        const val SHARE = 3
+    }
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/IncomingRequest.kt
@@ -0,0 +1,63 @@
+/*
+ * A caller's request on its way through the routers, and where its answer goes.
+ */
+package rhubarbspool.router
+
+import rhubarbspool.configuration.Route
+import rhubarbspool.configuration.ServiceConfiguration
+import rhubarbspool.errors.RequestError
+
+/** One header field. */
+internal data class Header(val name: String, val value: String)
+
+/**
+ * A request that was matched to a route.
+ *
+ * @property target path and query as the backend server expects them.
+ * @property caller who asks, for fairness between callers.
+ * @property requestId the caller's id of a once-only request.
+ * @property deadlineAt monotonic milliseconds of this process.
+ */
+internal class IncomingRequest(
+    val configuration: ServiceConfiguration,
+    val route: Route,
+    val key: String,
+    val target: String,
+    val headers: List<Header>,
+    val body: ByteArray,
+    val caller: String,
+    val requestId: String?,
+    val deadlineAt: Long,
+)
+
+/** Status and headers of an answer; [server] is the backend server that gave it. */
+internal data class AnswerHead(val status: Int, val headers: List<Header>, val server: String)
+
+/** Where one caller's answer goes. Used on the router's event loop only. */
+internal interface AnswerSink {
+    /** Whether more of the answer may be written now. */
+    val isWritable: Boolean
+
+    /** Calls [action] each time that more may be written. */
+    fun onWritable(action: () -> Unit)
+
+    /** Begins a server's answer. */
+    fun head(head: AnswerHead)
+
+    /** Passes on a part of the body. */
+    fun body(bytes: ByteArray)
+
+    /** The answer is whole. */
+    fun complete()
+
+    /** The answer began and can't be finished. */
+    fun abort()
+
+    /** The system itself answers. */
+    fun refuse(error: RequestError)
+}
+
+/** A request under way; [cancel] when its caller has gone. */
+internal fun interface Ticket {
+    fun cancel()
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterContext.kt
@@ -0,0 +1,31 @@
+/*
+ * What the parts of one router share. Everything runs on one event loop, so nothing here is locked.
+ */
+package rhubarbspool.router
+
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import rhubarbspool.edge.HttpClient
+import rhubarbspool.gate.CrashSuspects
+import rhubarbspool.model.InstanceName
+import rhubarbspool.model.ServiceName
+
+/** Shared parts of one router. */
+internal class RouterContext(
+    val instance: InstanceName,
+    val group: EventLoopGroup,
+    val loop: EventLoop,
+    val view: RouterView,
+    val recorder: OnceRecorder,
+    val serverClient: HttpClient,
+    val metrics: RouterMetrics,
+) {
+    private val suspectsByService = HashMap<ServiceName, CrashSuspects>()
+    private var lastId = 0L
+
+    /** Crash suspects of [service]. */
+    fun suspects(service: ServiceName): CrashSuspects = suspectsByService.getOrPut(service) { CrashSuspects() }
+
+    /** A number that was not used before in this process. */
+    fun nextId(): Long = ++lastId
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterDaemon.kt
@@ -0,0 +1,142 @@
+/*
+ * The router process: callers' HTTP, the gates that this instance holds, and the way between routers, all on one
+ * event loop.
+ */
+package rhubarbspool.router
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.grpc.Server
+import io.grpc.netty.NettyServerBuilder
+import io.netty.channel.Channel
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import rhubarbspool.edge.Channels
+import rhubarbspool.edge.Daemon
+import rhubarbspool.edge.DaemonSettings
+import rhubarbspool.edge.HttpClient
+import rhubarbspool.edge.HttpService
+import rhubarbspool.edge.HttpTableClient
+import rhubarbspool.edge.Metrics
+import rhubarbspool.edge.ObservationHandler
+import rhubarbspool.edge.ProcessClock
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+private val logger = KotlinLogging.logger {}
+
+/** One router. */
+class RouterDaemon(private val settings: DaemonSettings) : Daemon {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val view = RouterView()
+    private val metrics = Metrics()
+    private val run = Random(System.nanoTime()).nextLong().toULong().toString(RADIX)
+    private val table = HttpTableClient(HttpClient(group, TABLE_TIMEOUT_MILLISECONDS), settings.platform.table)
+    private val recorder = OnceRecorder(loop, table, "${settings.identity.instance}.router.$run")
+    private val context = RouterContext(
+        settings.identity.instance,
+        group,
+        loop,
+        view,
+        recorder,
+        HttpClient(group, PROBE_TIMEOUT_MILLISECONDS),
+        RouterMetrics(metrics),
+    )
+    private val gates = GateTable(context)
+    private val peers = Channels(group, pings = true)
+    private val localChannels = Channels(group, pings = false)
+    private val forwards = ForwardService(context, gates)
+    private val entry = CallerEntry(context, RequestFlow(context, gates, ForwardClient(peers)))
+    private val callers = CallerServer(group, entry, settings.callerConnections)
+    private val link =
+        ControllerLink(loop, localChannels, settings.identity.controller, view, ::report, ::ordersApplied)
+    private lateinit var server: Server
+    private lateinit var observation: Channel
+    private var configurationsSeen = view.configurations
+
+    /** Starts to listen. */
+    fun start() {
+        val address = settings.identity.router
+        server = NettyServerBuilder.forAddress(InetSocketAddress(address.host, address.port))
+            .bossEventLoopGroup(group).workerEventLoopGroup(group).channelType(NioServerSocketChannel::class.java)
+            .directExecutor()
+            .permitKeepAliveTime(1, TimeUnit.SECONDS)
+            .maxInboundMessageSize(Channels.MAXIMUM_MESSAGE_BYTES)
+            .addService(forwards)
+            .build().start()
+        observation = HttpService(group, ObservationHandler(metrics, ::isReady)).listen(settings.routerObservation)
+        callers.listen(settings.callers)
+        loop.scheduleWithFixedDelay(::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS)
+        loop.execute(link::start)
+        logger.atInfo {
+            message = "router started"
+            payload = mapOf("instance" to settings.identity.instance.text, "callers" to "${settings.callers}")
+        }
+    }
+
+    /** Stops taking requests, gives the gates away, finishes what is under way, and ends. */
+    override fun stop() {
+        entry.isStopping = true
+        waitUntil(LAME_DUCK_MILLISECONDS) { false }
+        callers.stopListening()
+        val left = waitUntil(settings.drainMilliseconds) { onLoop(::isDone) }
+        if (!left) logger.warn { "planned stop ran out of time with requests under way" }
+        callers.closeIdle()
+        server.shutdown().awaitTermination(1, TimeUnit.SECONDS)
+        server.shutdownNow()
+        observation.close()
+        peers.close()
+        localChannels.close()
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly()
+    }
+
+    private fun isReady(): Boolean = view.configurations.isNotEmpty() && !entry.isStopping
+
+    private fun isDone(): Boolean = view.gates.isEmpty() && gates.isIdle && callers.isIdle && forwards.inFlight == 0
+
+    private fun report(report: rhubarbspool.protocol.RouterReport.Builder) {
+        gates.report(report)
+        report.setUnrecordedRuns(recorder.hasUnrecordedRuns)
+        report.setLeaving(entry.isStopping)
+        report.setRouterRun(run)
+    }
+
+    private fun ordersApplied() {
+        if (view.configurations !== configurationsSeen) {
+            configurationsSeen = view.configurations
+            gates.reconfigure()
+        }
+        tick()
+    }
+
+    @Suppress("TooGenericExceptionCaught")
+    private fun tick() {
+        try {
+            gates.tick(ProcessClock.monotonic())
+        } catch (exception: RuntimeException) {
+            logger.error(exception) { "a tick failed" }
+        }
+    }
+
+    private fun <T> onLoop(action: () -> T): T = loop.submit<T> { action() }.get()
+
+    private fun waitUntil(milliseconds: Long, condition: () -> Boolean): Boolean {
+        val end = ProcessClock.monotonic() + milliseconds
+        while (ProcessClock.monotonic() < end) {
+            if (condition()) return true
+            Thread.sleep(POLL_MILLISECONDS)
+        }
+        return false
+    }
+
+    private companion object {
+        const val RADIX = 36
+        const val TICK_MILLISECONDS = 10L
+        const val POLL_MILLISECONDS = 20L
+        const val LAME_DUCK_MILLISECONDS = 500L
+        const val TABLE_TIMEOUT_MILLISECONDS = 1_000L
+        const val PROBE_TIMEOUT_MILLISECONDS = 300L
+    }
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterMetrics.kt
@@ -0,0 +1,47 @@
+/*
+ * What the router shows to Prometheus.
+ */
+package rhubarbspool.router
+
+import rhubarbspool.edge.Metrics
+import rhubarbspool.errors.ErrorKind
+
+/** Counters and histograms of one router. */
+internal class RouterMetrics(metrics: Metrics) {
+    private val answers = metrics.counter("rhubarbspool_answers", "Answers to callers", "service", "status")
+    private val errors = metrics.counter("rhubarbspool_errors", "Answers that the system made up itself", "kind")
+    private val seconds = metrics.histogram("rhubarbspool_request_seconds", "Time from request to answer", "service")
+    private val runs = metrics.counter("rhubarbspool_server_runs", "Calls sent to backend servers", "service")
+    private val shared = metrics.counter("rhubarbspool_shared_answers", "Requests that shared another's call", "service")
+    private val forwards = metrics.counter("rhubarbspool_forwards", "Requests sent on to another instance")
+    private val waiting = metrics.gauge("rhubarbspool_waiting", "Requests that wait at a gate", "server")
+    private val allowed = metrics.gauge("rhubarbspool_slots_allowed", "Slots that a gate uses", "server")
+
+    /** An answer went to a caller. */
+    fun answered(service: String, status: Int, milliseconds: Long) {
+        answers.labelValues(service, "$status").inc()
+        seconds.labelValues(service).observe(milliseconds / MILLISECONDS_PER_SECOND)
+    }
+
+    /** An answer of [kind] went to a caller. */
+    fun refused(kind: ErrorKind) = errors.labelValues(kind.name.lowercase()).inc()
+
+    /** A call was sent to a backend server. */
+    fun ran(service: String) = runs.labelValues(service).inc()
+
+    /** A request joined a call that was under way. */
+    fun joined(service: String) = shared.labelValues(service).inc()
+
+    /** A request went on to another instance. */
+    fun forwarded() = forwards.inc()
+
+    /** State of one gate. */
+    fun gate(server: String, waitingRequests: Int, allowedSlots: Int) {
+        waiting.labelValues(server).set(waitingRequests.toDouble())
+        allowed.labelValues(server).set(allowedSlots.toDouble())
+    }
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1_000.0
+    }
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ServerConnections.kt
@@ -0,0 +1,94 @@
+/*
+ * Connections to one backend server. A connection carries one request at a time; idle ones are kept for a short
+ * while only, since something in between may lose track of them, and their number is bounded.
+ */
+package rhubarbspool.router
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import rhubarbspool.edge.ProcessClock
+import rhubarbspool.model.Address
+import java.io.IOException
+import java.util.ArrayDeque
+
+/** Connections to [address], at most [maximum] at once. Used on one event loop. */
+internal class ServerConnections(
+    private val group: EventLoopGroup,
+    private val address: Address,
+    private val maximum: Int,
+) {
+    private class Idle(val channel: Channel, val since: Long)
+
+    private val idle = ArrayDeque<Idle>()
+
+    /** Open connections, idle and busy. */
+    var count: Int = 0
+        private set
+
+    /** Opens or reuses a connection and hands it, or the failure, to [received]. */
+    fun acquire(received: (Result<Channel>) -> Unit) {
+        val kept = takeIdle()
+        when {
+            kept != null -> received(Result.success(kept))
+            count >= maximum -> received(Result.failure(IOException("all $maximum connections to $address are busy")))
+            else -> connect(received)
+        }
+    }
+
+    /** Gives back a connection that can carry another request. */
+    fun release(channel: Channel) {
+        if (channel.isActive) idle.addFirst(Idle(channel, ProcessClock.monotonic()))
+    }
+
+    /** Closes connections that were idle for too long. */
+    fun closeIdle(now: Long) {
+        while (idle.isNotEmpty() && now - idle.last().since > IDLE_MILLISECONDS) idle.removeLast().channel.close()
+    }
+
+    /** Closes every idle connection: the server was lost or started anew. */
+    fun forgetIdle() {
+        idle.forEach { it.channel.close() }
+        idle.clear()
+    }
+
+    private fun takeIdle(): Channel? {
+        while (idle.isNotEmpty()) {
+            val channel = idle.removeFirst().channel
+            if (channel.isActive) return channel
+        }
+        return null
+    }
+
+    private fun connect(received: (Result<Channel>) -> Unit) {
+        count++
+        val future = Bootstrap().group(group).channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
+            .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(HttpClientCodec())
+                }
+            })
+            .connect(address.host, address.port)
+        future.channel().closeFuture().addListener { count-- }
+        future.addListener {
+            if (it.isSuccess) {
+                received(Result.success(future.channel()))
+            } else {
+                future.channel().close()
+                received(Result.failure(it.cause()))
+            }
+        }
+    }
+
+    private companion object {
+        const val CONNECT_MILLISECONDS = 300
+        const val IDLE_MILLISECONDS = 3_000L
+    }
+}
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ServerRun.kt
@@ -0,0 +1,124 @@
+/*
+ * One run at a backend server and the requests that share its answer. The answer is passed on as it arrives
+ * when one caller waits; it is kept until it is whole when several may share it.
+ */
+package rhubarbspool.router
+
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
+import rhubarbspool.gate.CallEnd
+import rhubarbspool.gate.GateRequest
+import rhubarbspool.gate.RecordedAnswer
+import java.io.ByteArrayOutputStream
+
+/** What a run needs from its gate. */
+internal interface ServerRunOwner {
+    /** Sinks of the requests that wait for the run of [call], the first caller's first. */
+    fun sinks(call: Long): List<AnswerSink>
+
+    /** The answer outgrew what may be kept: the others must have calls of their own. */
+    fun detachOthers(call: Long)
+
+    /** The run is over. */
+    fun ended(run: ServerRun, end: CallEnd, wire: WireEnd)
+}
+
+/** The run of [request], whose answer may be kept up to [keepBytes]. */
+internal class ServerRun(
+    val request: GateRequest,
+    val sentAt: Long,
+    private val server: String,
+    private val keepBytes: Long,
+    private val owner: ServerRunOwner,
+) : ServerCallListener {
+    private val kept = ByteArrayOutputStream()
+    private val shares = request.coalesceKey != null || request.onceId != null
+    private var head: AnswerHead? = null
+    private var refusal: CallEnd? = null
+    private var streaming = false
+
+    /** The run on the wire, once it has a connection. */
+    var call: ServerCall? = null
+
+    /** Whether the answer is being passed on, so that nobody can join any more. */
+    val isStreaming: Boolean get() = streaming
+
+    override fun head(response: HttpResponse) {
+        val status = response.status().code()
+        val retryAfter = response.headers()[HttpHeaderNames.RETRY_AFTER]
+        refusal = when {
+            status == GRANT_REFUSED -> CallEnd.NotSent
+            status == UNAVAILABLE && retryAfter != null ->
+                CallEnd.Shed(retryAfter.toLongOrNull()?.times(MILLISECONDS_PER_SECOND))
+            else -> null
+        }
+        val passedOn = response.headers().filterNot { it.key.lowercase() in NOT_PASSED_ON }
+        head = AnswerHead(status, passedOn.map { Header(it.key, it.value) }, server)
+        if (refusal == null && !shares) stream()
+    }
+
+    override fun body(bytes: ByteArray) {
+        if (refusal != null) return
+        if (streaming) return pass(bytes)
+        kept.write(bytes)
+        if (kept.size() > keepBytes) {
+            owner.detachOthers(request.id)
+            stream()
+        }
+    }
+
+    override fun end(end: WireEnd) {
+        val whole = end == WireEnd.WHOLE || end == WireEnd.WHOLE_CLOSED
+        val status = head?.status
+        val result = when {
+            end == WireEnd.NOT_SENT -> CallEnd.NotSent
+            refusal != null && whole -> requireNotNull(refusal)
+            whole && status != null -> CallEnd.Answered(status, record(status))
+            else -> CallEnd.Broken(answerBegan = streaming)
+        }
+        if (whole && refusal == null) finishSinks() else if (streaming) owner.sinks(request.id).forEach { it.abort() }
+        owner.ended(this, result, end)
+    }
+
+    private fun record(status: Int): RecordedAnswer? {
+        if (request.onceId == null) return null
+        val small = kept.size() <= RECORDED_BYTES && !streaming
+        val type = head?.headers?.firstOrNull { it.name.equals("content-type", ignoreCase = true) }?.value
+        return RecordedAnswer(status, type, if (small) kept.toString(Charsets.UTF_8) else null)
+    }
+
+    private fun finishSinks() {
+        val sinks = owner.sinks(request.id)
+        if (!streaming) {
+            val bytes = kept.toByteArray()
+            sinks.forEach { sink ->
+                head?.let(sink::head)
+                if (bytes.isNotEmpty()) sink.body(bytes)
+            }
+        }
+        sinks.forEach { it.complete() }
+    }
+
+    private fun stream() {
+        streaming = true
+        val sink = owner.sinks(request.id).firstOrNull() ?: return
+        head?.let(sink::head)
+        if (kept.size() > 0) pass(kept.toByteArray())
+    }
+
+    private fun pass(bytes: ByteArray) {
+        val sink = owner.sinks(request.id).firstOrNull() ?: return
+        sink.body(bytes)
+        if (sink.isWritable) return
+        call?.read(false)
+        sink.onWritable { call?.read(true) }
+    }
+
+    private companion object {
+        const val GRANT_REFUSED = 412
+        const val UNAVAILABLE = 503
+        const val MILLISECONDS_PER_SECOND = 1_000L
+        const val RECORDED_BYTES = 4_096
+        val NOT_PASSED_ON = setOf("connection", "keep-alive", "transfer-encoding", "content-length")
+    }
+}
