--- /dev/null
+++ b/proofs/mutations.py
@@ -0,0 +1,103 @@
+"""Takes one mechanism out of a copy of the sources at a time and runs the test that must notice.
+
+Usage: proofs/mutations.py [name ...]    Each line of the result names the mutation, whether the test failed as it
+must, and the first line that it printed. Needs the same tools as the build.
+"""
+import concurrent.futures
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+WORK = ROOT / "target" / "proofs"
+MAIN = "rhubarbspool-core/src/main/kotlin/rhubarbspool/"
+
+# name: (file, text taken out, text put in, test class, seeds)
+MUTATIONS = {
+    "promise-not-kept": (
+        "lease/PromiseBook.kt", "        promisedAt[subject] = now\n", "", "ControlFuzzTest", 120),
+    "unnamed-takes-over": (
+        "control/TakeoverSystem.kt",
+        "val local = me in member.successors && isDue", "val local = member.domain == state.identity.domain && isDue",
+        "ControlFuzzTest", 120),
+    "asks-confirmed-list-only": (
+        "lease/HolderLease.kt", "get() = confirmed + proposed", "get() = confirmed", "ControlFuzzTest", 2000),
+    "wait-shorter-than-lease": (
+        "lease/LeaseTimes.kt", "get() = stretched(lease)", "get() = lease / 2", "ControlFuzzTest", 120),
+    "regains-by-promises": (
+        "lease/HolderLease.kt", "if (!lapsed && now >= validUntil(duration)) lapsed = true\n        return !lapsed",
+        "return now < validUntil(duration)", "ControlFuzzTest", 2000),
+    "serves-on-incomplete-rows": (
+        "control/ControlNode.kt", "val complete = state.completeRevision >= maxOf(entry.version, state.regainVersion)",
+        "val complete = true", "ControlFuzzTest", 2000),
+    "grants-before-release": (
+        "control/ShardSystem.kt", "state.moves.entries.filter { it.value.drained }", "state.moves.entries",
+        "ControlFuzzTest", 120),
+    "hands-over-before-release": (
+        "control/GateSystem.kt", "state.handovers.filterValues { it.drained }", "state.handovers",
+        "ControlFuzzTest", 120),
+    "joins-at-once": (
+        "control/JoinSystem.kt", "val waited = now.monotonic - startedAt >= wait", "val waited = true",
+        "ControlFuzzTest", 2000),
+    "promises-for-earlier-generation": (
+        "control/ControlNode.kt", "if (generation != state.generation || state.phase == Phase.LEFT) return false\n", "",
+        "ControlFuzzTest", 2000),
+    "takeover-ignores-own-row": (
+        "control/TakeoverSystem.kt", ", Condition(selfKey, state.rows.version(selfKey))", "", "ControlFuzzTest", 2000),
+    "configuration-falls": (
+        "control/ConfigurationSystem.kt", "|| row.number <= current", "", "ControlFuzzTest", 2000),
+    "drain-ignored": (
+        "control/ControlState.kt", "!isDraining(DrainKind.SERVER, server.name.text) &&",
+        "true ||", "ControlFuzzTest", 1),
+    "late-release-believed": (
+        "control/ControlNode.kt", "if (move.order == release.order) move.copy(drained = true) else move",
+        "move.copy(drained = true)", "ControlFuzzTest", 2000),
+    "move-ignores-gate-row": (
+        "control/ShardSystem.kt", " +\n            Condition(gateKey, state.rows.version(gateKey))", "", "ControlFuzzTest", 2000),
+    "remote-lease-ignored": (
+        "control/ControlNode.kt", "if (!moves || remoteWait == 0L) return local", "return local", "ControlFuzzTest", 120),
+    "regain-reads-nothing": (
+        "control/MemberWrite.kt", "if (state.local.lapsed || state.remote.lapsed) state.regainVersion = version\n", "",
+        "ControlFuzzTest", 2000),
+}
+
+
+def run(name):
+    file, old, new, test, seeds = MUTATIONS[name]
+    copy = WORK / name
+    shutil.rmtree(copy, ignore_errors=True)
+    copy.mkdir(parents=True)
+    shutil.copy(ROOT / "pom.xml", copy)
+    for module in ROOT.glob("rhubarbspool-*"):
+        (copy / module.name).mkdir()
+        shutil.copy(module / "pom.xml", copy / module.name)
+    shutil.copytree(ROOT / "rhubarbspool-core" / "src", copy / "rhubarbspool-core" / "src")
+    target = copy / MAIN / file
+    text = target.read_text()
+    if text.count(old) != 1:
+        return f"{name}: NOT APPLIED ({text.count(old)} matches in {file})"
+    target.write_text(text.replace(old, new))
+    command = ["mvn", "-o", "-B", "-q", "-pl", "rhubarbspool-core", "test", f"-Dtest={test}",
+               f"-Drhubarbspool.seeds={seeds}", "-Dsurefire.failIfNoSpecifiedTests=false"]
+    result = subprocess.run(command, cwd=copy, capture_output=True, text=True)
+    output = result.stdout + result.stderr
+    if result.returncode == 0:
+        return f"{name}: SURVIVED"
+    if "COMPILATION ERROR" in output or "error:" in output:
+        return f"{name}: DOES NOT COMPILE {output[:300]}"
+    seen = re.findall(r"^seed \d+:.*$|Expected .* but was .*$", output, re.M)
+    failed = re.findall(r"^\[ERROR\] +(\w+Test\..*)$", output, re.M)
+    return f"{name}: noticed: {(seen or failed or ['?'])[0][:200]}"
+
+
+def main():
+    names = sys.argv[1:] or list(MUTATIONS)
+    with concurrent.futures.ThreadPoolExecutor(max_workers=3) as pool:
+        for line in pool.map(run, names):
+            print(line, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ApplyCommand.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ApplyCommand.kt
@@ -21,7 +21,10 @@
 internal class ApplyCommand : SystemCommand("apply") {
     private val file by argument("file", help = "The configuration").file(mustExist = true, canBeDir = false)
     private val noWait by option("--no-wait", help = "Return once the configuration is accepted").flag()
-    private val seconds by option("--seconds", help = "How long to wait until it is in force").long().default(DEFAULT_SECONDS)
+    private val seconds by option(
+        "--seconds",
+        help = "How long to wait until it is in force"
+    ).long().default(DEFAULT_SECONDS)
     private val reason by option("--reason", help = "Why, for the audit trail").default("")
 
     override fun help(context: Context): String =
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/CommandMain.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/CommandMain.kt
@@ -27,8 +27,8 @@
     }
 
     override fun help(context: Context): String =
-        "Operates a rhubarbspool system.\n\nExit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 invalid document, " +
-            "4 another operator was first, 5 the platform does not answer."
+        "Operates a rhubarbspool system.\n\nExit codes: 0 done, 1 refused or failed, 2 wrong usage, " +
+            "3 invalid document, 4 another operator was first, 5 the platform does not answer."
 
     override val printHelpOnEmptyArgs: Boolean = true
 
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/DocumentCommands.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/DocumentCommands.kt
@@ -26,7 +26,8 @@
 
     override fun help(context: Context): String =
         "Describes a service by questions and writes its configuration.\n\n" +
-            "Example: rhubarbspool questionnaire --answers samples/phewa/booking-ledger.answers.yaml --output ledger.yaml"
+            "Example: rhubarbspool questionnaire --answers samples/phewa/booking-ledger.answers.yaml " +
+            "--output ledger.yaml"
 
     override fun run() {
         val document = answers?.readText() ?: ask()
@@ -52,7 +53,10 @@
 
 /** Checks configurations without any system at hand. */
 internal class CheckCommand : CliktCommand(name = "check") {
-    private val files by argument("file", help = "Configurations to check").file(mustExist = true).multiple(required = true)
+    private val files by argument(
+        "file",
+        help = "Configurations to check"
+    ).file(mustExist = true).multiple(required = true)
 
     override fun help(context: Context): String =
         "Checks configurations and names every fault.\n\nExample: rhubarbspool check samples/phewa/*-configuration.yaml"
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ExplainCommand.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ExplainCommand.kt
@@ -66,12 +66,12 @@
         server: String,
         holder: String?,
     ): List<String> {
-        val hot = "/key/" in shard
         val trail = client.audit(AUDIT_LINES).filter { shard in it.audit.subject || server in it.audit.subject }
+        val range = "the key hashes into one of ${configuration.shards} shards"
         return listOfNotNull(
-            if (hot) "the key is hot and has a shard of its own" else "the key hashes into one of ${configuration.shards} shards",
+            if ("/key/" in shard) "the key is hot and has a shard of its own" else range,
             "the shard's row names $server",
-            if (holder == null) "nobody holds the gate of $server" else "$holder holds the gate of $server",
+            "${holder ?: "nobody"} holds the gate of $server",
             trail.firstOrNull()?.audit?.let { "last change: ${it.action} from ${it.before} to ${it.after} (${it.cause})" },
         )
     }
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/OperatorClient.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/OperatorClient.kt
@@ -6,14 +6,11 @@
 import io.grpc.StatusRuntimeException
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import kotlinx.serialization.json.JsonObject
 import rhubarbspool.edge.Channels
-import rhubarbspool.edge.HttpAnswer
 import rhubarbspool.edge.HttpCall
 import rhubarbspool.edge.HttpClient
 import rhubarbspool.edge.HttpObjectStore
 import rhubarbspool.edge.HttpTableClient
-import rhubarbspool.edge.RowMessage
 import rhubarbspool.edge.RowsMessage
 import rhubarbspool.edge.platformJson
 import rhubarbspool.edge.toMessage
@@ -113,38 +110,33 @@
     /** The newest [count] lines of the audit trail, newest first. */
     fun audit(count: Int): List<AuditLine> {
         val answer = await(http.send(address, HttpCall("GET", "/v1/rows?prefix=audit/&newest=$count")))
-        return messagesOf(answer).mapNotNull { row ->
-            val body = (row.body as? JsonObject)?.let { RowCodec.decode(it.toString()) } as? AuditBody
-            body?.let { AuditLine(row.key, row.version, it) }
+        return platformJson.decodeFromString<RowsMessage>(answer.body).rows.mapNotNull { row ->
+            val audit = row.body?.let { RowCodec.decode(it.toString()) } as? AuditBody
+            audit?.let { AuditLine(row.key, row.version, it) }
         }
     }
 
     /** Tells a few instances of [row] at once, so that they need not find it in the table. */
     fun announce(members: Collection<MemberBody>, row: VersionedRow) {
         val batch = RowBatch.newBuilder().addRows(row.toMessage()).build()
-        members.shuffled().take(ANNOUNCED).forEach { member -> quietly { stub(member).push(batch) } }
+        members.shuffled().take(ANNOUNCED).forEach { member -> ask(member) { push(batch) } }
     }
 
     /** What the controller of [member] says of itself; null when it does not answer. */
-    fun status(member: MemberBody): StatusReply? = quietly { stub(member).status(StatusRequest.getDefaultInstance()) }
+    fun status(member: MemberBody): StatusReply? = ask(member) { status(StatusRequest.getDefaultInstance()) }
 
     override fun close() {
         channels.close()
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
     }
 
-    private fun stub(member: MemberBody) = PeerGrpc.newBlockingStub(channels.channel(member.controller))
-        .withDeadlineAfter(STATUS_MILLISECONDS, TimeUnit.MILLISECONDS)
-
-    private fun <T> quietly(action: () -> T): T? = try {
-        action()
+    private fun <T> ask(member: MemberBody, call: PeerGrpc.PeerBlockingStub.() -> T): T? = try {
+        PeerGrpc.newBlockingStub(channels.channel(member.controller))
+            .withDeadlineAfter(STATUS_MILLISECONDS, TimeUnit.MILLISECONDS).call()
     } catch (_: StatusRuntimeException) {
         null
     }
 
-    private fun messagesOf(answer: HttpAnswer): List<RowMessage> =
-        platformJson.decodeFromString<RowsMessage>(answer.body).rows
-
     private fun <T> await(future: CompletableFuture<T>): T = try {
         future.get()
     } catch (exception: ExecutionException) {
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/OrderCommands.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/OrderCommands.kt
@@ -13,13 +13,13 @@
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
 import kotlinx.serialization.encodeToString
+import rhubarbspool.model.ServiceName
 import rhubarbspool.table.AuditBody
 import rhubarbspool.table.DrainBody
 import rhubarbspool.table.DrainKind
 import rhubarbspool.table.QuarantineBody
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.RowTable
-import rhubarbspool.model.ServiceName
 import java.time.Instant
 
 /** Takes something out of service, or brings it back. */
@@ -28,7 +28,10 @@
     private val target by argument("name", help = "Its name")
     private val reason by option("--reason", help = "Why, for the audit trail").default("")
     private val noWait by option("--no-wait", help = "Return once the order is accepted").flag()
-    private val seconds by option("--seconds", help = "How long to wait until shards have left").long().default(DEFAULT_SECONDS)
+    private val seconds by option(
+        "--seconds",
+        help = "How long to wait until shards have left"
+    ).long().default(DEFAULT_SECONDS)
 
     override fun help(context: Context): String = if (draining) {
         "Takes a server, an instance or a failure domain out of service without cutting off requests.\n\n" +
@@ -67,7 +70,9 @@
 
     private fun remaining(rows: RowTable, client: OperatorClient): Int = when (kind) {
         DrainKind.INSTANCE -> rows.gates.values.count { it.gate.holder?.text == target }
-        DrainKind.SERVER -> rows.gates.values.filter { it.gate.server.text == target }.sumOf { rows.shardsOf(it.gate.server).size }
+        DrainKind.SERVER -> rows.gates.values.filter {
+            it.gate.server.text == target
+        }.sumOf { rows.shardsOf(it.gate.server).size }
         DrainKind.DOMAIN -> serversOf(rows, client).sumOf { rows.shardsOf(it).size }
     }
 
@@ -100,7 +105,12 @@
             echo("$fingerprint of $service is not in quarantine", err = true)
             throw ProgramResult(ExitCodes.FAILED)
         }
-        val row = write(client, rows, OperatorChange(key, old.copy(releasedBy = author), author, "release-quarantine", reason))
+        val row =
+            write(
+                client,
+                rows,
+                OperatorChange(key, old.copy(releasedBy = author), author, "release-quarantine", reason)
+            )
         client.announce(rows.activeMembers(), row)
         echo("released $fingerprint of $service")
     }
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/StatusCommand.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/StatusCommand.kt
@@ -89,11 +89,30 @@
     private fun print(status: SystemStatus) {
         echo("INSTANCE             DOMAIN               STATE    ANSWERS LEASE  GATES TABLE-AGE")
         status.instances.forEach {
-            echo("%-20s %-20s %-8s %-7s %-6s %5d %6d ms".format(it.instance, it.domain, it.state, it.answers, it.leaseValid, it.gates, it.tableAgeMilliseconds))
+            echo(
+                "%-20s %-20s %-8s %-7s %-6s %5d %6d ms".format(
+                    it.instance,
+                    it.domain,
+                    it.state,
+                    it.answers,
+                    it.leaseValid,
+                    it.gates,
+                    it.tableAgeMilliseconds
+                )
+            )
         }
         echo("\nSERVER               SERVICE              HOLDER               EPOCH SHARDS REACHABLE")
         status.servers.forEach {
-            echo("%-20s %-20s %-20s %5d %6d %s".format(it.server, it.service, it.holder, it.gateEpoch, it.shards, it.reachable))
+            echo(
+                "%-20s %-20s %-20s %5d %6d %s".format(
+                    it.server,
+                    it.service,
+                    it.holder,
+                    it.gateEpoch,
+                    it.shards,
+                    it.reachable
+                )
+            )
         }
         section("DRAINED", status.drained)
         section("CONFIGURATIONS", status.configurations)
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/SystemCommand.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/SystemCommand.kt
@@ -29,7 +29,11 @@
     protected val json by option("--json", help = "Print JSON for other programs").flag()
 
     /** Who asks, for the audit trail. */
-    protected val author by option("--author", envvar = "USER", help = "Who asks, for the audit trail").default("operator")
+    protected val author by option(
+        "--author",
+        envvar = "USER",
+        help = "Who asks, for the audit trail"
+    ).default("operator")
 
     final override fun run() {
         try {
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/ControllerDaemon.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/ControllerDaemon.kt
@@ -43,7 +43,7 @@
     private val objects = ObjectCache(HttpObjectStore(http, settings.platform.objects))
     private val channels = Channels(group, pings = false)
     private val effects = EffectRunner(node, loop, table, objects, PeerClient(channels, node.state), ::tick)
-    private val local = LocalService(node, objects, random.nextLong(), ::tick)
+    private val local = LocalService(node, random.nextLong(), ::tick)
     private val metrics = Metrics()
     private val gauges = ControllerGauges(metrics)
     private val left = CompletableFuture<Unit>()
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/ControllerMain.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/ControllerMain.kt
@@ -10,5 +10,8 @@
     /** Entry point of the program. */
     @JvmStatic
     fun main(arguments: Array<String>) =
-        DaemonLauncher.launch("rhubarbspool-controller", arguments) { ControllerDaemon(it).also(ControllerDaemon::start) }
+        DaemonLauncher.launch(
+            "rhubarbspool-controller",
+            arguments
+        ) { ControllerDaemon(it).also(ControllerDaemon::start) }
 }
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/EffectRunner.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/EffectRunner.kt
@@ -65,16 +65,14 @@
 
     private fun fetch(effect: ControlEffect.FetchObject) {
         objects.fetch(effect.hash).thenAccept { text ->
-            onLoop {
-                if (text != null) {
-                    adopt(effect.hash, text)
-                } else {
-                    effect.peers.forEach { peer -> peers.fetchObject(peer, effect.hash) { onLoop { adopt(effect.hash, it) } } }
-                }
-            }
+            onLoop { if (text != null) adopt(effect.hash, text) else askPeers(effect) }
         }
     }
 
+    private fun askPeers(effect: ControlEffect.FetchObject) = effect.peers.forEach { peer ->
+        peers.fetchObject(peer, effect.hash) { text -> onLoop { adopt(effect.hash, text) } }
+    }
+
     private fun adopt(hash: String, text: String) {
         val service = node.onObject(hash, text) ?: return
         objects.keep(text)
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/LocalService.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/LocalService.kt
@@ -18,17 +18,16 @@
 import rhubarbspool.model.Now
 import rhubarbspool.model.ServerName
 import rhubarbspool.model.ServiceName
-import rhubarbspool.protocol.ConfigurationDocument as ConfigurationMessage
 import rhubarbspool.protocol.GateOrder
 import rhubarbspool.protocol.LocalGrpc
 import rhubarbspool.protocol.Release
 import rhubarbspool.protocol.RouterOrders
 import rhubarbspool.protocol.RouterReport
+import rhubarbspool.protocol.ConfigurationDocument as ConfigurationMessage
 
 /** The local service of the controller process numbered [run]. */
 internal class LocalService(
     private val node: ControlNode,
-    private val objects: ObjectCache,
     private val run: Long,
     private val changed: () -> Unit,
 ) : LocalGrpc.LocalImplBase() {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/Questionnaire.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/Questionnaire.kt
@@ -37,7 +37,11 @@
 
     /** The questions in the order in which they are asked. */
     val questions: List<Question> = listOf(
-        Question("service", "What is the service called?", "The name is the first part of every path that callers use."),
+        Question(
+            "service",
+            "What is the service called?",
+            "The name is the first part of every path that callers use."
+        ),
         Question(
             "servers",
             "Which backend servers does it have? Name, address and failure domain of each.",
@@ -63,14 +67,24 @@
             "After a loss that leaves doubt, a key waits this long for its next server.",
             "5s",
         ),
-        Question("reads", "Path of reads that may be run twice, with {key}, or none.", "Reads are tried again on failure.", NONE),
+        Question(
+            "reads",
+            "Path of reads that may be run twice, with {key}, or none.",
+            "Reads are tried again on failure.",
+            NONE
+        ),
         Question(
             "readsPersonal",
             "Are the answers of reads personal to the caller? (true or false)",
             "If so, equal reads each cost a run of their own.",
             "false",
         ),
-        Question("readsWithin", "Within what time is an answer to a read of use?", "Later ones are refused early.", "2s"),
+        Question(
+            "readsWithin",
+            "Within what time is an answer to a read of use?",
+            "Later ones are refused early.",
+            "2s"
+        ),
         Question(
             "bookings",
             "Path of bookings that must never run twice, with {key}, or none.",
@@ -84,7 +98,12 @@
             "Records are kept for so long; after a loss of records bookings are refused for so long.",
             "10m",
         ),
-        Question("downloads", "Path of downloads that may wait behind the rest, with {key}, or none.", "They go last.", NONE),
+        Question(
+            "downloads",
+            "Path of downloads that may wait behind the rest, with {key}, or none.",
+            "They go last.",
+            NONE
+        ),
         Question("downloadsWithin", "Within what time must a download begin and end?", "Later ones are cut.", "5s"),
         Question(
             "whenCutOff",
@@ -92,7 +111,12 @@
             "hold: callers elsewhere wait for the cut to end. A time: the cut domain stops serving them by then.",
             "hold",
         ),
-        Question("shards", "Into how many ranges are the keys divided?", "More spread finer and cost one row each.", "64"),
+        Question(
+            "shards",
+            "Into how many ranges are the keys divided?",
+            "More spread finer and cost one row each.",
+            "64"
+        ),
     )
 
     /** Reads the answers in [document] and builds the configuration; every fault when there is any. */
@@ -124,18 +148,41 @@
     }
 
     private fun whenCutOff(reader: SettingsReader): Long? =
-        if (reader.text("whenCutOff", "hold") == "hold") null else reader.duration("whenCutOff", 2_000L..DAY_MILLISECONDS)
+        if (reader.text("whenCutOff", "hold") == "hold") {
+            null
+        } else {
+            reader.duration(
+                "whenCutOff",
+                2_000L..DAY_MILLISECONDS
+            )
+        }
 
     private fun routes(reader: SettingsReader): List<Route> = listOfNotNull(
         route(reader, "reads") { path ->
             val personal = reader.flag("readsPersonal", false)
-            Route("read", "GET", path, RunKind.REPEATABLE, Priority.NORMAL, !personal, within(reader, "readsWithin", 2_000))
+            Route(
+                "read",
+                "GET",
+                path,
+                RunKind.REPEATABLE,
+                Priority.NORMAL,
+                !personal,
+                within(reader, "readsWithin", 2_000)
+            )
         },
         route(reader, "bookings") { path ->
             Route("book", "POST", path, RunKind.ONCE, Priority.HIGH, false, within(reader, "bookingsWithin", 4_000))
         },
         route(reader, "downloads") { path ->
-            Route("download", "GET", path, RunKind.REPEATABLE, Priority.LOW, false, within(reader, "downloadsWithin", 5_000))
+            Route(
+                "download",
+                "GET",
+                path,
+                RunKind.REPEATABLE,
+                Priority.LOW,
+                false,
+                within(reader, "downloadsWithin", 5_000)
+            )
         },
     ).also { if (it.isEmpty()) reader.fault("reads", "no route at all", "a path for reads, bookings or downloads") }
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ConfigurationSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ConfigurationSystem.kt
@@ -20,7 +20,9 @@
             .filter { it.number > (state.configurations[it.service]?.number ?: 0) }
             .forEach { wanted[it.objectHash] = it }
         askedAt.keys.retainAll(wanted.keys)
-        val due = wanted.keys.filter { now.monotonic - (askedAt[it] ?: (now.monotonic - RETRY_MILLISECONDS)) >= RETRY_MILLISECONDS }
+        val due = wanted.keys.filter {
+            now.monotonic - (askedAt[it] ?: (now.monotonic - RETRY_MILLISECONDS)) >= RETRY_MILLISECONDS
+        }
         return due.map { hash ->
             askedAt[hash] = now.monotonic
             val peers = state.activeMembers().map { it.member.instance } - state.identity.instance
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlNode.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlNode.kt
@@ -102,7 +102,7 @@
     /** Takes in all shared rows with versions up to [revision] that were read after [after]. */
     fun onScan(after: Long, rows: List<VersionedRow>, revision: Long, now: Now) {
         state.tableAnsweredAt = now.monotonic
-        merge(rows, spread = false)
+        merge(rows, spread = true)
         if (after <= state.completeRevision) state.completeRevision = maxOf(state.completeRevision, revision)
     }
 
@@ -201,7 +201,13 @@
 
     private fun noteReachable(server: ServerName, reachable: Boolean, now: Now) {
         state.reachable[server] = reachable
-        if (reachable) state.unreachableSince.remove(server) else state.unreachableSince.putIfAbsent(server, now.monotonic)
+        if (reachable) {
+            state.unreachableSince.remove(
+                server
+            )
+        } else {
+            state.unreachableSince.putIfAbsent(server, now.monotonic)
+        }
     }
 
     private fun noteHotKey(hot: HotKey, now: Now) {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlSystem.kt
@@ -40,5 +40,12 @@
 }
 
 /** A line of the audit trail about what this instance did. */
-internal fun ControlState.audit(action: String, subject: String, before: String, after: String, now: Now, cause: String) =
+internal fun ControlState.audit(
+    action: String,
+    subject: String,
+    before: String,
+    after: String,
+    now: Now,
+    cause: String
+) =
     AuditBody(identity.instance.text, action, subject, before, after, cause, now.wall)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/GossipSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/GossipSystem.kt
@@ -12,7 +12,7 @@
 internal class GossipSystem : ControlSystem {
     private var exchangedAt = Long.MIN_VALUE / 2
     private var scannedAt = Long.MIN_VALUE / 2
-    private var scanEvery = SCAN_MILLISECONDS
+    private var scanEvery = MINIMUM_SCAN_MILLISECONDS
 
     override fun run(state: ControlState, now: Now): List<ControlEffect> =
         push(state) + exchange(state, now) + scan(state, now)
@@ -39,10 +39,17 @@
         val needed = neededRevision(state) > state.completeRevision
         if (age < scanEvery && !(needed && age >= NEEDED_SCAN_MILLISECONDS)) return emptyList()
         scannedAt = now.monotonic
-        scanEvery = SCAN_MILLISECONDS + state.random.nextLong(SCAN_MILLISECONDS)
+        scanEvery = scanInterval(state)
         return listOf(ControlEffect.Scan(state.completeRevision))
     }
 
+    /** Grows with the members, so that the table serves about ten scans a second, whoever makes them. */
+    private fun scanInterval(state: ControlState): Long {
+        val mean = (state.activeMembers().size * SCAN_MILLISECONDS_PER_MEMBER)
+            .coerceIn(MINIMUM_SCAN_MILLISECONDS, MAXIMUM_SCAN_MILLISECONDS)
+        return mean / 2 + state.random.nextLong(mean)
+    }
+
     /** The highest version that this instance must know everything up to, to serve its gates and their shards. */
     private fun neededRevision(state: ControlState): Long {
         val gates = state.ownGates()
@@ -53,7 +60,9 @@
     companion object {
         private const val FANOUT = 3
         private const val EXCHANGE_MILLISECONDS = 1_000L
-        private const val SCAN_MILLISECONDS = 3_000L
+        private const val SCAN_MILLISECONDS_PER_MEMBER = 100L
+        private const val MINIMUM_SCAN_MILLISECONDS = 500L
+        private const val MAXIMUM_SCAN_MILLISECONDS = 5_000L
         private const val NEEDED_SCAN_MILLISECONDS = 20L
 
         /** Whether rows under [key] are passed on between instances. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ShardSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ShardSystem.kt
@@ -163,7 +163,13 @@
         private const val COLD_MILLISECONDS = 120_000L
 
         /** Starts to split the hot [key] out of the range that [source] owns. */
-        fun split(state: ControlState, configuration: ServiceConfiguration, key: String, source: ServerName, index: Int) {
+        fun split(
+            state: ControlState,
+            configuration: ServiceConfiguration,
+            key: String,
+            source: ServerName,
+            index: Int
+        ) {
             val rowKey = RowKeys.hotShard(configuration.service, key)
             val range = state.rows.row(RowKeys.shard(configuration.service, index)) ?: return
             val owns = (range.body as? ShardBody)?.server == source
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/SuccessorSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/SuccessorSystem.kt
@@ -81,7 +81,12 @@
             val wait = state.remoteWait
             val remoteSilence = (state.remoteLease ?: 0) / 2
             return body.copy(
-                successors = choose(body, body.successors, near, state.local.silent(now.monotonic, state.times.lease / 2)),
+                successors = choose(
+                    body,
+                    body.successors,
+                    near,
+                    state.local.silent(now.monotonic, state.times.lease / 2)
+                ),
                 remoteSuccessors = if (wait == null) {
                     emptyList()
                 } else {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/TakeoverSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/TakeoverSystem.kt
@@ -50,7 +50,14 @@
         val suspectUntil = suspectUntil(state, holder.member, now)
         val writes = listOf(Write(holderKey, replaced(holder.member, scope))) +
             gates.map { Write(RowKeys.gate(it.gate.server), GateSystem.claimedBy(state, it, suspectUntil)) }
-        val audit = state.audit("takeover", holder.member.instance.text, "holder", "gone", now, "no sign of life ($scope)")
+        val audit = state.audit(
+            "takeover",
+            holder.member.instance.text,
+            "holder",
+            "gone",
+            now,
+            "no sign of life ($scope)"
+        )
         state.promises.attempting(holder.member.instance)
         return state.submit(Change("takeover/${holder.member.instance}", conditions, writes, audit), now) { _, _ ->
             state.promises.resolved(holder.member.instance)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/ServerGate.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/ServerGate.kt
@@ -108,7 +108,12 @@
         val mayEnd = call.request.kind == RunKind.REPEATABLE
         return when {
             call.sentAt != null && mayEnd -> listOf(GateEffect.Cancel(call.request.id))
-            call.sentAt == null && call.request.id !in recording -> emptyList<GateEffect>().also { drop(call, notRun = true) }
+            call.sentAt == null && call.request.id !in recording -> emptyList<GateEffect>().also {
+                drop(
+                    call,
+                    notRun = true
+                )
+            }
             else -> emptyList()
         }
     }
@@ -220,7 +225,8 @@
 
     private fun unrecorded(call: Call): List<GateEffect> {
         val onceId = call.request.onceId
-        val effects = end(call.request.id, RequestError(ErrorKind.RECORD_UNAVAILABLE, retryAfterMilliseconds = BACK_SOON))
+        val effects =
+            end(call.request.id, RequestError(ErrorKind.RECORD_UNAVAILABLE, retryAfterMilliseconds = BACK_SOON))
         onceId?.let(once::remove)
         return effects
     }
@@ -259,7 +265,10 @@
         slots.shed()
         val again = call.request.kind == RunKind.REPEATABLE && mayRetry(call, now)
         if (again) return requeue(call)
-        return end(call.request.id, RequestError(ErrorKind.REJECTED, retryAfterMilliseconds = end.retryAfterMilliseconds))
+        return end(
+            call.request.id,
+            RequestError(ErrorKind.REJECTED, retryAfterMilliseconds = end.retryAfterMilliseconds)
+        )
     }
 
     private fun notSent(call: Call, now: Long): List<GateEffect> =
@@ -296,7 +305,12 @@
             call.members.remove(it.id)
             callOf.remove(it.id)
         }
-        val answers = late.map { GateEffect.Refuse(it.id, RequestError(kind, retryAfterMilliseconds = waitTime().toLong())) }
+        val answers = late.map {
+            GateEffect.Refuse(
+                it.id,
+                RequestError(kind, retryAfterMilliseconds = waitTime().toLong())
+            )
+        }
         val settled = call.members.isNotEmpty() || call.request.id in recording
         if (settled) return answers
         if (!sent) drop(call, notRun = true)
@@ -318,7 +332,10 @@
     private fun sendOrDrop(request: GateRequest, now: Long): List<GateEffect> {
         val call = calls.getValue(request.id)
         if (call.deadlineAt <= now) {
-            return end(request.id, RequestError(ErrorKind.DEADLINE_BEFORE_RUN, retryAfterMilliseconds = waitTime().toLong()))
+            return end(
+                request.id,
+                RequestError(ErrorKind.DEADLINE_BEFORE_RUN, retryAfterMilliseconds = waitTime().toLong())
+            )
         }
         call.sentAt = now
         call.attempts++
@@ -356,7 +373,14 @@
         val wait = waitTime()
         val late = now + wait + slots.serviceTime * policy.headroom(inFlight + queue.size) > request.deadlineAt
         val full = queue.size >= limits.queueLength
-        return if (full || late) RequestError(ErrorKind.OVERLOADED, retryAfterMilliseconds = maxOf(1, wait.toLong())) else null
+        return if (full || late) {
+            RequestError(
+                ErrorKind.OVERLOADED,
+                retryAfterMilliseconds = maxOf(1, wait.toLong())
+            )
+        } else {
+            null
+        }
     }
 
     /** Expected time until a slot is free for one more request. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/routing/RouteTable.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/routing/RouteTable.kt
@@ -24,7 +24,12 @@
 class RouteTable(private val services: Map<ServiceName, ServiceConfiguration>) {
     /** Finds the route of [method] on [target], the path with its query. */
     fun match(method: String, target: String): Either<RequestError, RouteMatch> {
-        if (services.isEmpty()) return RequestError(ErrorKind.NO_CONFIGURATION, retryAfterMilliseconds = RETRY_MILLISECONDS).left()
+        if (services.isEmpty()) {
+            return RequestError(
+                ErrorKind.NO_CONFIGURATION,
+                retryAfterMilliseconds = RETRY_MILLISECONDS
+            ).left()
+        }
         val path = target.substringBefore('?')
         val name = path.removePrefix("/").substringBefore('/')
         val configuration = services[ServiceName(name)] ?: return RequestError(ErrorKind.UNKNOWN_SERVICE, name).left()
--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
@@ -54,7 +54,11 @@
         } else {
             connect(address, call, answer)
         }
-        val timer = group.next().schedule({ answer.completeExceptionally(TimeoutException("$address")) }, timeoutMilliseconds, TimeUnit.MILLISECONDS)
+        val timer = group.next().schedule(
+            { answer.completeExceptionally(TimeoutException("$address")) },
+            timeoutMilliseconds,
+            TimeUnit.MILLISECONDS
+        )
         answer.whenComplete { _, _ -> timer.cancel(false) }
         return answer
     }
@@ -75,7 +79,16 @@
             })
             .connect(address.host, address.port)
         connected.addListener {
-            if (it.isSuccess) exchange(connected.channel(), address, call, answer) else answer.completeExceptionally(it.cause())
+            if (it.isSuccess) {
+                exchange(
+                    connected.channel(),
+                    address,
+                    call,
+                    answer
+                )
+            } else {
+                answer.completeExceptionally(it.cause())
+            }
         }
     }
 
--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/Metrics.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/Metrics.kt
@@ -17,16 +17,20 @@
     private val writer = PrometheusTextFormatWriter.create()
 
     /** A counter called [name] with [labels]. */
-    fun counter(name: String, help: String, vararg labels: String): Counter =
-        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+    fun counter(name: String, help: String, labels: List<String> = emptyList()): Counter =
+        Counter.builder().name(name).help(help).also { builder ->
+            if (labels.isNotEmpty()) builder.labelNames(*labels.toTypedArray())
+        }.register(registry)
 
     /** A gauge called [name] with [labels]. */
-    fun gauge(name: String, help: String, vararg labels: String): Gauge =
-        Gauge.builder().name(name).help(help).labelNames(*labels).register(registry)
+    fun gauge(name: String, help: String, labels: List<String> = emptyList()): Gauge =
+        Gauge.builder().name(name).help(help).also { builder ->
+            if (labels.isNotEmpty()) builder.labelNames(*labels.toTypedArray())
+        }.register(registry)
 
-    /** A histogram of seconds called [name] with [labels]. */
-    fun histogram(name: String, help: String, vararg labels: String): Histogram =
-        Histogram.builder().name(name).help(help).labelNames(*labels)
+    /** A histogram of seconds called [name] by [label]. */
+    fun histogram(name: String, help: String, label: String): Histogram =
+        Histogram.builder().name(name).help(help).labelNames(label)
             .classicUpperBounds(*SECONDS).classicOnly().register(registry)
 
     /** All metrics as text. */
@@ -49,10 +53,13 @@
     private fun answer(path: String): HttpAnswer = when (path) {
         "/metrics" -> HttpAnswer(OK, TEXT, metrics.text())
         "/health/live" -> HttpAnswer(OK, TEXT, "live\n")
-        "/health/ready" -> if (ready()) HttpAnswer(OK, TEXT, "ready\n") else HttpAnswer(UNAVAILABLE, TEXT, "not ready\n")
+        "/health/ready" -> readiness()
         else -> HttpAnswer(NOT_FOUND, TEXT, "unknown path\n")
     }
 
+    private fun readiness(): HttpAnswer =
+        if (ready()) HttpAnswer(OK, TEXT, "ready\n") else HttpAnswer(UNAVAILABLE, TEXT, "not ready\n")
+
     private companion object {
         const val OK = 200
         const val NOT_FOUND = 404
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerConnection.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerConnection.kt
@@ -1,11 +1,11 @@
 /*
- * One caller's connection. Requests that arrive while one is under way wait their turn, so answers go out in the
- * order of the requests; a connection with many waiting is not read any further.
+ * One caller's connection: reads requests off it, whole and bounded in size, and hands them to their turns.
  */
 package rhubarbspool.router
 
+import arrow.core.Either
+import arrow.core.left
 import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -22,55 +22,38 @@
 import io.netty.util.ReferenceCountUtil
 import rhubarbspool.errors.ErrorKind
 import rhubarbspool.errors.RequestError
-import java.io.ByteArrayOutputStream
 
 /** Handles one connection; answers at once with an error when the instance is [full]. */
 internal class CallerConnection(private val entry: CallerEntry, private val full: Boolean) : ChannelInboundHandlerAdapter() {
-    /** A request that is being read or waits for its turn. */
-    private class Waiting(val keepAlive: Boolean, val head: AcceptedHead?, var error: RequestError?) {
-        val body = ByteArrayOutputStream()
-        var whole = false
-    }
-
-    private val waiting = ArrayDeque<Waiting>()
-    private var reading: Waiting? = null
-    private var answer: CallerAnswer? = null
-    private var ticket: Ticket? = null
-    private var closing = false
-    private lateinit var context: ChannelHandlerContext
+    private var reading: ReceivedRequest? = null
+    private lateinit var turns: CallerTurns
 
     /** Whether nothing is under way. */
-    val isIdle: Boolean get() = answer == null && waiting.isEmpty() && reading == null
+    val isIdle: Boolean get() = turns.isIdle && reading == null
 
     /** Closes the connection when nothing is under way on it. */
-    fun closeIfIdle() {
-        context.executor().execute { if (isIdle) context.close() }
-    }
+    fun closeIfIdle() = turns.closeIf { isIdle }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
-        this.context = context
+        turns = CallerTurns(entry, context)
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            if (!closing && message is HttpObject) read(message)
+            if (!turns.isClosing && message is HttpObject) read(context, message)
         } finally {
             ReferenceCountUtil.release(message)
         }
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (context.channel().isWritable) answer?.writable()
+        if (context.channel().isWritable) turns.writable()
     }
 
-    override fun channelInactive(context: ChannelHandlerContext) {
-        closing = true
-        ticket?.cancel()
-        answer?.gone()
-    }
+    override fun channelInactive(context: ChannelHandlerContext) = turns.gone()
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-        if (event is IdleStateEvent && answer == null) context.close()
+        if (event is IdleStateEvent && turns.isIdle) context.close()
     }
 
     @Deprecated("Overrides a deprecated method of Netty")
@@ -78,9 +61,9 @@
         context.close()
     }
 
-    private fun read(message: HttpObject) {
+    private fun read(context: ChannelHandlerContext, message: HttpObject) {
         if (message.decoderResult().isFailure) return malformed(message.decoderResult().cause())
-        if (message is HttpRequest) begin(message)
+        if (message is HttpRequest) begin(context, message)
         if (message is HttpContent) content(message)
     }
 
@@ -88,77 +71,41 @@
         val tooLarge = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
         val kind = if (tooLarge) ErrorKind.HEADERS_TOO_LARGE else ErrorKind.MALFORMED_REQUEST
         reading = null
-        closing = true
-        enqueue(Waiting(keepAlive = false, head = null, error = RequestError(kind)).also { it.whole = true })
+        turns.last(RequestError(kind))
     }
 
-    private fun begin(request: HttpRequest) {
+    private fun begin(context: ChannelHandlerContext, request: HttpRequest) {
         val peer = context.channel().remoteAddress().toString().substringBeforeLast(':')
-        val accepted = if (full) null else entry.accept(request, peer)
-        val error = if (accepted == null) RequestError(ErrorKind.TOO_MANY_CONNECTIONS, "", FULL_RETRY_MILLISECONDS) else accepted.leftOrNull()
+        val accepted = if (full) fullError() else entry.accept(request, peer)
+        val error = accepted.leftOrNull()
         val bodyFollows = HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0
-        val next = Waiting(HttpUtil.isKeepAlive(request) && (error == null || !bodyFollows), accepted?.getOrNull(), error)
-        reading = next
-        if (error != null && bodyFollows) closing = true
+        if (error != null && bodyFollows) return turns.last(error)
+        reading = ReceivedRequest(HttpUtil.isKeepAlive(request), accepted)
         if (error == null && HttpUtil.is100ContinueExpected(request)) {
-            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
+            val proceed = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
+            context.writeAndFlush(proceed)
         }
-        if (closing) finishReading(next)
     }
 
+    private fun fullError(): Either<RequestError, AcceptedHead> =
+        RequestError(ErrorKind.TOO_MANY_CONNECTIONS, retryAfterMilliseconds = FULL_RETRY_MILLISECONDS).left()
+
     private fun content(content: HttpContent) {
         val current = reading ?: return
-        val limit = current.head?.match?.configuration?.limits?.requestBodyBytes ?: 0
-        if (current.body.size() + content.content().readableBytes() > limit) {
-            current.error = current.error ?: RequestError(ErrorKind.BODY_TOO_LARGE)
-            closing = true
-            return finishReading(Waiting(false, null, current.error))
+        val limit = current.head.getOrNull()?.match?.configuration?.limits?.requestBodyBytes ?: 0
+        val bytes = content.content().readableBytes()
+        if (current.body.size() + bytes > limit) {
+            reading = null
+            turns.last(RequestError(ErrorKind.BODY_TOO_LARGE))
+            return
         }
-        content.content().readBytes(current.body, content.content().readableBytes())
-        if (content is LastHttpContent) finishReading(current)
-    }
-
-    private fun finishReading(request: Waiting) {
+        content.content().readBytes(current.body, bytes)
+        if (content !is LastHttpContent) return
         reading = null
-        request.whole = true
-        enqueue(request)
-    }
-
-    private fun enqueue(request: Waiting) {
-        waiting += request
-        if (waiting.size >= PIPELINED) context.channel().config().isAutoRead = false
-        if (answer == null) next()
-    }
-
-    private fun next() {
-        val request = waiting.removeFirstOrNull() ?: return
-        if (waiting.size < PIPELINED) context.channel().config().isAutoRead = true
-        val keepAlive = request.keepAlive && !entry.isStopping
-        val started = CallerAnswer(context, entry.metrics, keepAlive, request.head?.match, ::answered)
-        answer = started
-        val error = request.error
-        val head = request.head
-        if (error != null || head == null) {
-            started.refuse(error ?: RequestError(ErrorKind.MALFORMED_REQUEST))
-        } else {
-            val accepted = entry.start(head.withBody(request.body.toByteArray()), started)
-            if (answer === started) ticket = accepted
-        }
-    }
-
-    private fun answered(keepAlive: Boolean) {
-        answer = null
-        ticket = null
-        if (!keepAlive || (closing && waiting.isEmpty())) {
-            closing = true
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
-        } else {
-            context.executor().execute { if (answer == null) next() }
-        }
+        turns.add(current)
     }
 
     private companion object {
-        const val PIPELINED = 8
         const val FULL_RETRY_MILLISECONDS = 1_000L
     }
 }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerEntry.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerEntry.kt
@@ -25,17 +25,7 @@
     val deadlineAt: Long,
 ) {
     /** The whole request. */
-    fun withBody(body: ByteArray) = IncomingRequest(
-        match.configuration,
-        match.route,
-        match.key,
-        match.serverPath,
-        headers,
-        body,
-        caller,
-        requestId,
-        deadlineAt,
-    )
+    fun withBody(body: ByteArray) = IncomingRequest(match, headers, body, caller, requestId, deadlineAt)
 }
 
 /** Entry of callers' requests. */
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerTurns.kt
@@ -0,0 +1,87 @@
+/*
+ * The requests of one connection in their order: one is under way at a time, so answers go out in the order of
+ * the requests. A connection with many waiting is not read any further.
+ */
+package rhubarbspool.router
+
+import arrow.core.Either
+import arrow.core.left
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import rhubarbspool.errors.RequestError
+import java.io.ByteArrayOutputStream
+
+/** A request as it was read, or the error that answers it. */
+internal class ReceivedRequest(val keepAlive: Boolean, val head: Either<RequestError, AcceptedHead>) {
+    val body = ByteArrayOutputStream()
+}
+
+/** Answers the requests of the connection of [context] in turn. */
+internal class CallerTurns(private val entry: CallerEntry, private val context: ChannelHandlerContext) {
+    private val waiting = ArrayDeque<ReceivedRequest>()
+    private var answer: CallerAnswer? = null
+    private var ticket: Ticket? = null
+
+    /** Whether no more requests are read from the connection. */
+    var isClosing: Boolean = false
+        private set
+
+    /** Whether no request waits or is under way. */
+    val isIdle: Boolean get() = answer == null && waiting.isEmpty()
+
+    /** Adds a whole request. */
+    fun add(request: ReceivedRequest) {
+        waiting += request
+        if (waiting.size >= PIPELINED) context.channel().config().isAutoRead = false
+        if (answer == null) next()
+    }
+
+    /** Ends the connection with [error] after what came before it was answered. */
+    fun last(error: RequestError) {
+        isClosing = true
+        add(ReceivedRequest(keepAlive = false, error.left()))
+    }
+
+    /** Closes the connection if [condition] holds on its event loop. */
+    fun closeIf(condition: () -> Boolean) = context.executor().execute { if (condition()) context.close() }
+
+    /** The connection takes more bytes. */
+    fun writable() {
+        answer?.writable()
+    }
+
+    /** The caller has gone. */
+    fun gone() {
+        isClosing = true
+        ticket?.cancel()
+        answer?.gone()
+    }
+
+    private fun next() {
+        val request = waiting.removeFirstOrNull() ?: return
+        if (waiting.size < PIPELINED) context.channel().config().isAutoRead = true
+        val keepAlive = request.keepAlive && !entry.isStopping
+        val started = CallerAnswer(context, entry.metrics, keepAlive, request.head.getOrNull()?.match, ::answered)
+        answer = started
+        request.head.fold(started::refuse) { head ->
+            val accepted = entry.start(head.withBody(request.body.toByteArray()), started)
+            if (answer === started) ticket = accepted
+        }
+    }
+
+    private fun answered(keepAlive: Boolean) {
+        answer = null
+        ticket = null
+        if (keepAlive) {
+            context.executor().execute { if (answer == null) next() }
+        } else {
+            isClosing = true
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+        }
+    }
+
+    private companion object {
+        const val PIPELINED = 8
+    }
+}
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardClient.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardClient.kt
@@ -101,7 +101,11 @@
             }
             when (chunk.partCase) {
                 ForwardChunk.PartCase.HEAD -> sink.head(
-                    AnswerHead(chunk.head.status, chunk.head.headersList.map { Header(it.name, it.value) }, chunk.head.server),
+                    AnswerHead(
+                        chunk.head.status,
+                        chunk.head.headersList.map { Header(it.name, it.value) },
+                        chunk.head.server
+                    ),
                 )
 
                 ForwardChunk.PartCase.BODY -> sink.body(chunk.body.toByteArray())
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardService.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardService.kt
@@ -17,9 +17,13 @@
 import rhubarbspool.protocol.ForwardRequest
 import rhubarbspool.protocol.GateGrpc
 import rhubarbspool.protocol.HeaderField
+import rhubarbspool.routing.RouteMatch
 
 /** The gate service of one router. */
-internal class ForwardService(private val context: RouterContext, private val gates: GateTable) : GateGrpc.GateImplBase() {
+internal class ForwardService(
+    private val context: RouterContext,
+    private val gates: GateTable
+) : GateGrpc.GateImplBase() {
     /** Requests of other routers that are under way. */
     var inFlight: Int = 0
         private set
@@ -28,30 +32,27 @@
         val stream = observer as ServerCallStreamObserver<ForwardChunk>
         val sink = StreamSink(stream)
         inFlight++
-        val ticket = requestOf(message)?.let { request ->
-            val host = gates[ServerName(message.server)]
-            if (host == null) {
-                sink.refuse(RequestError(ErrorKind.GATE_MOVED, retryAfterMilliseconds = RETRY_MILLISECONDS))
-                null
-            } else {
-                host.submit(request, sink)
-            }
-        }
-        if (ticket == null && !sink.isDone) sink.refuse(RequestError(ErrorKind.NO_CONFIGURATION, retryAfterMilliseconds = RETRY_MILLISECONDS))
+        val ticket = start(message, sink)
         stream.setOnCancelHandler {
-            sink.caller()
+            sink.callerGone()
             ticket?.cancel()
         }
     }
 
+    private fun start(message: ForwardRequest, sink: AnswerSink): Ticket? {
+        val request = requestOf(message)
+        val host = gates[ServerName(message.server)]
+        val missing = if (request == null) ErrorKind.NO_CONFIGURATION else ErrorKind.GATE_MOVED
+        if (request != null && host != null) return host.submit(request, sink)
+        sink.refuse(RequestError(missing, retryAfterMilliseconds = RETRY_MILLISECONDS))
+        return null
+    }
+
     private fun requestOf(message: ForwardRequest): IncomingRequest? {
-        val configuration = context.view.configuration(ServiceName(message.service)) ?: return null
-        val route = configuration.routes.firstOrNull { it.name == message.route } ?: return null
+        val configuration = context.view.configuration(ServiceName(message.service))
+        val route = configuration?.routes?.firstOrNull { it.name == message.route } ?: return null
         return IncomingRequest(
-            configuration,
-            route,
-            message.key,
-            message.target,
+            RouteMatch(configuration, route, message.key, message.target),
             message.headersList.map { Header(it.name, it.value) },
             message.body.toByteArray(),
             message.caller,
@@ -79,7 +80,11 @@
 
         override fun head(head: AnswerHead) {
             val fields = head.headers.map { HeaderField.newBuilder().setName(it.name).setValue(it.value).build() }
-            send(ForwardChunk.newBuilder().setHead(ForwardHead.newBuilder().setStatus(head.status).addAllHeaders(fields).setServer(head.server)))
+            send(
+                ForwardChunk.newBuilder().setHead(
+                    ForwardHead.newBuilder().setStatus(head.status).addAllHeaders(fields).setServer(head.server)
+                )
+            )
         }
 
         override fun body(bytes: ByteArray) = send(ForwardChunk.newBuilder().setBody(ByteString.copyFrom(bytes)))
@@ -99,7 +104,7 @@
         }
 
         /** The asking router has gone. */
-        fun caller() = done { }
+        fun callerGone() = done { }
 
         private fun send(chunk: ForwardChunk.Builder) {
             if (!isDone) stream.onNext(chunk.build())
--- /dev/null
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateAdmission.kt
@@ -0,0 +1,58 @@
+/*
+ * Whether a request that reached this process belongs to the gate of a server, before the gate decides on it.
+ */
+package rhubarbspool.router
+
+import rhubarbspool.configuration.BackendServer
+import rhubarbspool.configuration.ServiceConfiguration
+import rhubarbspool.errors.ErrorKind
+import rhubarbspool.errors.RequestError
+import rhubarbspool.gate.GateRequest
+import rhubarbspool.routing.KeyLocation
+import rhubarbspool.routing.KeyLocator
+import rhubarbspool.table.RowKeys
+
+/** Checks requests for the gate of [server] against the rows. Times are monotonic milliseconds. */
+internal class GateAdmission(
+    private val view: RouterView,
+    private val server: BackendServer,
+    private val watch: ServerWatch,
+) {
+    /** Where [key] is served, if this server may serve it; null when it may not. */
+    fun owned(configuration: ServiceConfiguration, key: String): KeyLocation? =
+        KeyLocator.locate(view.rows, configuration, key)
+            ?.takeIf { it.server == server.name && it.shardVersion <= view.completeRevision }
+
+    /** Why [incoming] can't be taken by an open gate at [now]; null when it can. */
+    fun refusal(configuration: ServiceConfiguration, incoming: IncomingRequest, now: Long): RequestError? {
+        val location = owned(configuration, incoming.key)
+        val subjects = releaseSubjects(configuration)
+        return when {
+            location == null -> RequestError(ErrorKind.GATE_MOVED, retryAfterMilliseconds = BACK_SOON)
+            subjects.any { it == location.shardKey || it == RowKeys.hotShard(configuration.service, incoming.key) } ->
+                RequestError(ErrorKind.GATE_MOVED, retryAfterMilliseconds = BACK_SOON)
+
+            isLeaving(now) -> RequestError(ErrorKind.NO_OWNER, "the server is leaving", BACK_LATER)
+            else -> null
+        }
+    }
+
+    /** Shards that are being given away. */
+    fun releaseSubjects(configuration: ServiceConfiguration): Set<String> =
+        view.releases.keys.filterTo(HashSet()) { it.startsWith("shard/${configuration.service}/") }
+
+    /** Whether a request belongs to the shard under [subject], or to the hot key that is being split out as it. */
+    fun belongsTo(configuration: ServiceConfiguration, subject: String): (GateRequest) -> Boolean =
+        { it.shard == subject || RowKeys.hotShard(configuration.service, it.key) == subject }
+
+    private fun isLeaving(now: Long): Boolean {
+        val since = listOfNotNull(watch.leavingSince, view.draining.since(server, now)).minOrNull()
+        return since != null && now - since > LEAVING_MILLISECONDS
+    }
+
+    private companion object {
+        const val BACK_SOON = 500L
+        const val BACK_LATER = 2_000L
+        const val LEAVING_MILLISECONDS = 2_000L
+    }
+}
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateTable.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateTable.kt
@@ -41,7 +41,11 @@
             report.addReleasedGates(Release.newBuilder().setSubject(it.server.text).setOrder(it.releaseOrder))
         }
         context.view.releases.filterKeys { subject -> hosts.values.all { it.isShardReleased(subject) } }
-            .forEach { (subject, order) -> report.addReleasedShards(Release.newBuilder().setSubject(subject).setOrder(order)) }
+            .forEach { (subject, order) ->
+                report.addReleasedShards(
+                    Release.newBuilder().setSubject(subject).setOrder(order)
+                )
+            }
         hosts.forEach { (server, host) -> reportServer(report, server, host) }
     }
 
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/IncomingRequest.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/IncomingRequest.kt
@@ -6,6 +6,8 @@
 import rhubarbspool.configuration.Route
 import rhubarbspool.configuration.ServiceConfiguration
 import rhubarbspool.errors.RequestError
+import rhubarbspool.gate.RecordedAnswer
+import rhubarbspool.routing.RouteMatch
 
 /** One header field. */
 internal data class Header(val name: String, val value: String)
@@ -13,22 +15,25 @@
 /**
  * A request that was matched to a route.
  *
- * @property target path and query as the backend server expects them.
  * @property caller who asks, for fairness between callers.
  * @property requestId the caller's id of a once-only request.
  * @property deadlineAt monotonic milliseconds of this process.
  */
 internal class IncomingRequest(
-    val configuration: ServiceConfiguration,
-    val route: Route,
-    val key: String,
-    val target: String,
+    val match: RouteMatch,
     val headers: List<Header>,
     val body: ByteArray,
     val caller: String,
     val requestId: String?,
     val deadlineAt: Long,
-)
+) {
+    val configuration: ServiceConfiguration get() = match.configuration
+    val route: Route get() = match.route
+    val key: String get() = match.key
+
+    /** Path and query as the backend server expects them. */
+    val target: String get() = match.serverPath
+}
 
 /** Status and headers of an answer; [server] is the backend server that gave it. */
 internal data class AnswerHead(val status: Int, val headers: List<Header>, val server: String)
@@ -61,3 +66,11 @@
 internal fun interface Ticket {
     fun cancel()
 }
+
+/** Gives the recorded [answer] of an earlier run at [server]. */
+internal fun AnswerSink.replay(answer: RecordedAnswer, server: String) {
+    val type = answer.contentType?.let { Header("content-type", it) }
+    head(AnswerHead(answer.status, listOfNotNull(type, Header("rhubarbspool-replayed", "true")), server))
+    answer.body?.let { body(it.toByteArray()) }
+    complete()
+}
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/OnceRecorder.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/OnceRecorder.kt
@@ -12,7 +12,6 @@
 import rhubarbspool.table.CommitResult
 import rhubarbspool.table.Condition
 import rhubarbspool.table.OnceBody
-import rhubarbspool.table.RowKeys
 import rhubarbspool.table.Transaction
 import rhubarbspool.table.Write
 import rhubarbspool.table.resolve
@@ -128,13 +127,9 @@
         }
     }
 
-    companion object {
-        private const val PACE_MILLISECONDS = 40L
-        private const val RETRY_MILLISECONDS = 500L
-        private const val BATCH = 200
-
-        /** Row key of the record of [requestId]. */
-        fun keyOf(request: IncomingRequest, requestId: String): String =
-            RowKeys.once(request.configuration.service, requestId)
+    private companion object {
+        const val PACE_MILLISECONDS = 40L
+        const val RETRY_MILLISECONDS = 500L
+        const val BATCH = 200
     }
 }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RequestFlow.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RequestFlow.kt
@@ -81,7 +81,11 @@
 
         private fun submit(location: KeyLocation, attempt: AnswerSink): Ticket? {
             val host = gates[location.server]
-            if (host == null) attempt.refuse(RequestError(ErrorKind.GATE_MOVED, retryAfterMilliseconds = RETRY_MILLISECONDS))
+            if (host == null) {
+                attempt.refuse(
+                    RequestError(ErrorKind.GATE_MOVED, retryAfterMilliseconds = RETRY_MILLISECONDS)
+                )
+            }
             return host?.submit(request, attempt)
         }
 
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterContext.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterContext.kt
@@ -4,7 +4,6 @@
 package rhubarbspool.router
 
 import io.netty.channel.EventLoop
-import io.netty.channel.EventLoopGroup
 import rhubarbspool.edge.HttpClient
 import rhubarbspool.gate.CrashSuspects
 import rhubarbspool.model.InstanceName
@@ -13,7 +12,6 @@
 /** Shared parts of one router. */
 internal class RouterContext(
     val instance: InstanceName,
-    val group: EventLoopGroup,
     val loop: EventLoop,
     val view: RouterView,
     val recorder: OnceRecorder,
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterDaemon.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterDaemon.kt
@@ -37,7 +37,6 @@
     private val recorder = OnceRecorder(loop, table, "${settings.identity.instance}.router.$run")
     private val context = RouterContext(
         settings.identity.instance,
-        group,
         loop,
         view,
         recorder,
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ServerWatch.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ServerWatch.kt
@@ -74,12 +74,9 @@
 
     /** Renews the grant of [epoch], which ends with the gate's lease at [leaseUntil]. */
     fun grant(epoch: Long, leaseUntil: Long, now: Long) {
-        if (!server.checksGrants) {
-            grantedEpoch = epoch
-            return
-        }
-        if (now - grantedAt < GRANT_MILLISECONDS && grantedEpoch == epoch) return
-        if (now - grantedAt < URGENT_MILLISECONDS) return
+        if (!server.checksGrants) grantedEpoch = epoch
+        val interval = if (grantedEpoch == epoch) GRANT_MILLISECONDS else URGENT_MILLISECONDS
+        if (!server.checksGrants || now - grantedAt < interval) return
         grantedAt = now
         val remaining = leaseUntil - now
         grantEndsAt = maxOf(grantEndsAt, leaseUntil)
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/BackendStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/BackendStandIn.kt
@@ -23,12 +23,8 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.serialization.encodeToString
-import rhubarbspool.edge.ProcessClock
 import rhubarbspool.edge.platformJson
 import rhubarbspool.model.Address
-import java.util.ArrayDeque
-import java.util.concurrent.TimeUnit
-import kotlin.math.ln
 import kotlin.random.Random
 
 /**
@@ -38,32 +34,17 @@
  */
 class BackendStandIn(
     private val name: String,
-    private val group: EventLoopGroup,
+    group: EventLoopGroup,
     behaviour: ServerBehaviour,
     private val random: Random = Random(1),
     private val crash: () -> Unit = {},
 ) {
-    private class Run(val context: ChannelHandlerContext, val request: ReceivedRequest, val deadlineAt: Long)
-
-    private data class ReceivedRequest(val call: String?, val id: String?, val target: String, val method: String, val body: String)
-
     private val loop = group.next()
     private val channels = DefaultChannelGroup(loop)
-    private val waiting = ArrayDeque<Run>()
-    private val runsById = HashMap<String, Int>()
-    private val cancelled = HashSet<String>()
+    private val grants = StandInGrants()
+    private val runs = StandInRuns(name, loop, random) { this.behaviour }
     private var listener: Channel? = null
-    private var running = 0
-    private var runs = 0L
-    private var mostAtOnce = 0
-    private var mostAtOnceCold = 0
-    private var fellOver = 0
-    private var refusedByGrant = 0L
-    private var startedAt = 0L
     private var runName = ""
-    private var gateEpoch = 0L
-    private var grantEndsAt = 0L
-    private val shardEpochs = HashMap<String, Long>()
 
     /** Behaviour in force. */
     @Volatile
@@ -72,12 +53,9 @@
 
     /** Listens on [address] as a process that was just started. */
     fun start(address: Address) {
-        startedAt = ProcessClock.monotonic()
         runName = random.nextLong().toULong().toString(RADIX)
-        gateEpoch = 0
-        shardEpochs.clear()
-        running = 0
-        waiting.clear()
+        grants.clear()
+        runs.restart()
         listener = ServerBootstrap().group(loop).channel(NioServerSocketChannel::class.java)
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
@@ -92,8 +70,7 @@
     fun stop() {
         listener?.close()
         channels.close()
-        running = 0
-        waiting.clear()
+        runs.restart()
     }
 
     /** Switches the behaviour. */
@@ -102,34 +79,35 @@
     }
 
     /** What the server saw so far. */
-    fun counts(): ServerCounts = loop.submit<ServerCounts> { currentCounts() }.get()
+    fun counts(): ServerCounts = loop.submit<ServerCounts> { runs.counts(grants.refused) }.get()
 
-    private fun currentCounts() = ServerCounts(
-        runs,
-        runsById.filterValues { it > 1 }.keys.toList(),
-        mostAtOnce,
-        mostAtOnceCold,
-        fellOver,
-        refusedByGrant,
+    private fun health() = HealthMessage(
+        runName,
+        if (runs.isCold && !behaviour.saysWarm) "cold" else "warm",
+        behaviour.draining,
+        runs.running,
     )
 
-    private val cold: Boolean get() = ProcessClock.monotonic() - startedAt < behaviour.coldMilliseconds
+    private fun die() {
+        stop()
+        crash()
+    }
 
     private inner class Requests : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-            if (behaviour.silent && channels.size > 0 && request.uri() != HEALTH && request.uri() != CONTROL) return
             val body = request.content().toString(Charsets.UTF_8)
+            val path = request.uri()
             when {
-                request.uri() == HEALTH -> answer(context, OK, platformJson.encodeToString(health()))
-                request.uri() == COUNTS -> answer(context, OK, platformJson.encodeToString(currentCounts()))
-                request.uri() == CONTROL -> {
-                    if (body.isNotEmpty()) behave(platformJson.decodeFromString(body))
-                    answer(context, OK, platformJson.encodeToString(behaviour))
+                path == HEALTH -> context.answer(OK, platformJson.encodeToString(health()))
+                path == COUNTS -> context.answer(OK, platformJson.encodeToString(runs.counts(grants.refused)))
+                path == CONTROL -> control(context, body)
+                path == GRANTS -> context.answer(grants.take(platformJson.decodeFromString(body)), "")
+                path.startsWith(CANCELLATIONS) -> {
+                    runs.cancel(path.removePrefix(CANCELLATIONS))
+                    context.answer(OK, "")
                 }
 
-                request.uri() == GRANTS -> answer(context, grant(platformJson.decodeFromString(body)), "")
-                request.uri().startsWith(CANCELLATIONS) -> cancel(context, request.uri().removePrefix(CANCELLATIONS))
-                else -> receive(context, request, body)
+                !behaviour.silent -> receive(context, request, body)
             }
         }
 
@@ -137,108 +115,23 @@
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             context.close()
         }
-    }
-
-    private fun health() = HealthMessage(
-        runName,
-        if (cold && !behaviour.saysWarm) "cold" else "warm",
-        behaviour.draining,
-        running,
-    )
-
-    private fun grant(message: GrantMessage): Int {
-        if (message.gateEpoch < gateEpoch) return PRECONDITION_FAILED
-        gateEpoch = message.gateEpoch
-        grantEndsAt = ProcessClock.monotonic() + message.remainingMilliseconds
-        return OK
-    }
-
-    private fun cancel(context: ChannelHandlerContext, call: String) {
-        cancelled += call
-        waiting.removeIf { it.request.call == call }
-        answer(context, OK, "")
-    }
-
-    private fun receive(context: ChannelHandlerContext, request: FullHttpRequest, body: String) {
-        val headers = request.headers()
-        val received = ReceivedRequest(headers[CALL], headers[REQUEST_ID], request.uri(), request.method().name(), body)
-        val remaining = headers[REMAINING]?.toLongOrNull() ?: Long.MAX_VALUE / 2
-        val deadlineAt = ProcessClock.monotonic() + remaining
-        val epoch = headers[GATE_EPOCH]?.toLongOrNull() ?: 0
-        val shard = headers[SHARD].orEmpty()
-        val shardEpoch = headers[SHARD_EPOCH]?.toLongOrNull() ?: 0
-        when {
-            behaviour.crashOn.isNotEmpty() && behaviour.crashOn in request.uri() -> die()
-            behaviour.checksGrants && !granted(epoch, shard, shardEpoch) -> {
-                refusedByGrant++
-                answer(context, PRECONDITION_FAILED, "grant refused")
-            }
 
-            random.nextDouble() < behaviour.shedFraction -> answer(context, UNAVAILABLE, "shed", retryAfter = true)
-            else -> {
-                waiting += Run(context, received, deadlineAt)
-                startNext()
-            }
+        private fun control(context: ChannelHandlerContext, body: String) {
+            if (body.isNotEmpty()) behave(platformJson.decodeFromString(body))
+            context.answer(OK, platformJson.encodeToString(behaviour))
         }
-    }
-
-    private fun granted(epoch: Long, shard: String, shardEpoch: Long): Boolean {
-        val current = epoch >= gateEpoch && ProcessClock.monotonic() < grantEndsAt
-        val known = shardEpochs[shard] ?: 0
-        if (!current || shardEpoch < known) return false
-        shardEpochs[shard] = shardEpoch
-        return true
-    }
 
-    private fun die() {
-        stop()
-        crash()
-    }
-
-    private fun startNext() {
-        if (cold && running + waiting.size > behaviour.coldSlots) {
-            mostAtOnceCold = maxOf(mostAtOnceCold, running + waiting.size)
-            fellOver++
-            startedAt = ProcessClock.monotonic()
-        }
-        while (running < behaviour.slots && waiting.isNotEmpty()) run(waiting.removeFirst())
-    }
+        private fun receive(context: ChannelHandlerContext, request: FullHttpRequest, body: String) {
+            val crashes = behaviour.crashOn.isNotEmpty() && behaviour.crashOn in request.uri()
+            when {
+                crashes -> die()
+                behaviour.checksGrants && !grants.allow(request.headers()) ->
+                    context.answer(PRECONDITION_FAILED, "grant refused")
 
-    private fun run(run: Run) {
-        if (ProcessClock.monotonic() >= run.deadlineAt || run.request.call in cancelled) {
-            answer(run.context, UNAVAILABLE, "deadline passed before the run", retryAfter = true)
-            return
+                random.nextDouble() < behaviour.shedFraction -> context.answer(UNAVAILABLE, "shed", retryAfter = true)
+                else -> runs.add(context, request, body)
+            }
         }
-        running++
-        runs++
-        mostAtOnce = maxOf(mostAtOnce, running)
-        if (cold) mostAtOnceCold = maxOf(mostAtOnceCold, running)
-        run.request.id?.let { runsById.merge(it, 1, Int::plus) }
-        loop.schedule({ finish(run) }, serviceMicroseconds(), TimeUnit.MICROSECONDS)
-    }
-
-    private fun serviceMicroseconds(): Long {
-        val spread = HALF - HALF * ln(1 - random.nextDouble())
-        val factor = behaviour.slowFactor * if (cold) behaviour.coldFactor else 1.0
-        return (behaviour.serviceMilliseconds * factor * spread * MICROSECONDS).toLong()
-    }
-
-    private fun finish(run: Run) {
-        if (running == 0) return
-        running--
-        val text = "{\"server\":\"$name\",\"target\":\"${run.request.target}\",\"request\":\"${run.request.id ?: ""}\"," +
-            "\"echo\":\"${run.request.body.length}\",\"filler\":\"${"x".repeat(behaviour.answerBytes)}\"}"
-        answer(run.context, OK, text)
-        startNext()
-    }
-
-    private fun answer(context: ChannelHandlerContext, status: Int, text: String, retryAfter: Boolean = false) {
-        val content = Unpooled.copiedBuffer(text, Charsets.UTF_8)
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
-        if (retryAfter) response.headers().set(HttpHeaderNames.RETRY_AFTER, 1)
-        context.writeAndFlush(response)
     }
 
     private companion object {
@@ -246,19 +139,21 @@
         const val PRECONDITION_FAILED = 412
         const val UNAVAILABLE = 503
         const val RADIX = 36
-        const val HALF = 0.5
-        const val MICROSECONDS = 1_000.0
         const val MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
         const val HEALTH = "/health"
         const val CONTROL = "/control"
         const val COUNTS = "/counts"
         const val GRANTS = "/grants"
         const val CANCELLATIONS = "/cancellations/"
-        const val CALL = "rhubarbspool-call"
-        const val REQUEST_ID = "idempotency-key"
-        const val REMAINING = "rhubarbspool-remaining-milliseconds"
-        const val GATE_EPOCH = "rhubarbspool-gate-epoch"
-        const val SHARD = "rhubarbspool-shard"
-        const val SHARD_EPOCH = "rhubarbspool-shard-epoch"
     }
 }
+
+/** Writes one whole answer. */
+internal fun ChannelHandlerContext.answer(status: Int, text: String, retryAfter: Boolean = false) {
+    val content = Unpooled.copiedBuffer(text, Charsets.UTF_8)
+    val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+    if (retryAfter) response.headers().set(HttpHeaderNames.RETRY_AFTER, 1)
+    writeAndFlush(response)
+}
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/PlatformStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/PlatformStandIn.kt
@@ -37,18 +37,22 @@
     /** Listens on [address]. */
     fun listen(address: Address): Channel = HttpService(group, this).listen(address)
 
-    override fun handle(call: HttpCall): CompletableFuture<HttpAnswer> {
-        if (call.path == "/faults") return CompletableFuture.completedFuture(switchFaults(call))
-        if (call.path == "/counts") return CompletableFuture.completedFuture(ok(platformJson.encodeToString(table.counts())))
-        val inForce = faults
-        if (inForce.outage) return CompletableFuture()
+    override fun handle(call: HttpCall): CompletableFuture<HttpAnswer> = when (call.path) {
+        "/faults" -> CompletableFuture.completedFuture(switchFaults(call))
+        "/counts" -> CompletableFuture.completedFuture(ok(platformJson.encodeToString(table.counts())))
+        else -> if (faults.outage) CompletableFuture() else underFaults(call, faults)
+    }
+
+    private fun underFaults(call: HttpCall, inForce: PlatformFaults): CompletableFuture<HttpAnswer> {
         val answer = answer(call)
-        if (call.path == TRANSACTIONS && random.nextDouble() < inForce.loseRepliesFraction) {
-            return CompletableFuture.failedFuture(IOException("reply lost"))
-        }
-        if (inForce.delayMilliseconds == 0L) return CompletableFuture.completedFuture(answer)
         val later = CompletableFuture<HttpAnswer>()
-        group.next().schedule({ later.complete(answer) }, inForce.delayMilliseconds, TimeUnit.MILLISECONDS)
+        val lost = call.path == TRANSACTIONS && random.nextDouble() < inForce.loseRepliesFraction
+        val finish = Runnable { if (lost) later.completeExceptionally(IOException("reply lost")) else later.complete(answer) }
+        if (inForce.delayMilliseconds == 0L) {
+            finish.run()
+        } else {
+            group.next().schedule(finish, inForce.delayMilliseconds, TimeUnit.MILLISECONDS)
+        }
         return later
     }
 
--- /dev/null
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/StandInGrants.kt
@@ -0,0 +1,49 @@
+/*
+ * Fenced grants of a backend server stand-in.
+ */
+package rhubarbspool.standins
+
+import io.netty.handler.codec.http.HttpHeaders
+import rhubarbspool.edge.ProcessClock
+
+/** The grant in force and the highest epochs seen. */
+internal class StandInGrants {
+    private val shardEpochs = HashMap<String, Long>()
+    private var gateEpoch = 0L
+    private var endsAt = 0L
+
+    /** Requests refused so far. */
+    var refused = 0L
+        private set
+
+    /** Forgets everything, as a process that starts anew. */
+    fun clear() {
+        shardEpochs.clear()
+        gateEpoch = 0
+        endsAt = 0
+    }
+
+    /** Takes a grant; the HTTP status that answers it. */
+    fun take(message: GrantMessage): Int {
+        if (message.gateEpoch < gateEpoch) return REFUSED
+        gateEpoch = message.gateEpoch
+        endsAt = ProcessClock.monotonic() + message.remainingMilliseconds
+        return TAKEN
+    }
+
+    /** Whether a request with [headers] carries a current grant. */
+    fun allow(headers: HttpHeaders): Boolean {
+        val epoch = headers["rhubarbspool-gate-epoch"]?.toLongOrNull() ?: 0
+        val shard = headers["rhubarbspool-shard"].orEmpty()
+        val shardEpoch = headers["rhubarbspool-shard-epoch"]?.toLongOrNull() ?: 0
+        val current = epoch >= gateEpoch && ProcessClock.monotonic() < endsAt
+        val allowed = current && shardEpoch >= (shardEpochs[shard] ?: 0)
+        if (allowed) shardEpochs[shard] = shardEpoch else refused++
+        return allowed
+    }
+
+    private companion object {
+        const val TAKEN = 200
+        const val REFUSED = 412
+    }
+}
--- /dev/null
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/StandInRuns.kt
@@ -0,0 +1,121 @@
+/*
+ * The runs of a backend server stand-in: slots, a line of waiting requests, coldness, and falling over.
+ */
+package rhubarbspool.standins
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.FullHttpRequest
+import rhubarbspool.edge.ProcessClock
+import java.util.concurrent.TimeUnit
+import kotlin.math.ln
+import kotlin.random.Random
+
+/** Runs requests on [loop] as [behaviour] says. */
+internal class StandInRuns(
+    private val name: String,
+    private val loop: EventLoop,
+    private val random: Random,
+    private val behaviour: () -> ServerBehaviour,
+) {
+    private class Run(
+        val context: ChannelHandlerContext,
+        val call: String?,
+        val requestId: String?,
+        val target: String,
+        val body: String,
+        val deadlineAt: Long,
+    )
+
+    private val waiting = ArrayDeque<Run>()
+    private val runsById = HashMap<String, Int>()
+    private val cancelled = HashSet<String>()
+    private var incarnation = 0
+    private var total = 0L
+    private var mostAtOnce = 0
+    private var mostAtOnceCold = 0
+    private var fellOver = 0
+    private var startedAt = 0L
+
+    /** Requests that run now. */
+    var running = 0
+        private set
+
+    /** Whether the server is cold. */
+    val isCold: Boolean get() = ProcessClock.monotonic() - startedAt < behaviour().coldMilliseconds
+
+    /** Starts anew: what ran is gone. */
+    fun restart() {
+        incarnation++
+        startedAt = ProcessClock.monotonic()
+        running = 0
+        waiting.clear()
+    }
+
+    /** What was seen so far. */
+    fun counts(refusedByGrant: Long): ServerCounts {
+        val repeated = runsById.filterValues { it > 1 }.keys.toList()
+        return ServerCounts(total, repeated, mostAtOnce, mostAtOnceCold, fellOver, refusedByGrant)
+    }
+
+    /** Sees to it that [call] does not start any more. */
+    fun cancel(call: String) {
+        cancelled += call
+        waiting.removeIf { it.call == call }
+    }
+
+    /** Takes in a request. */
+    fun add(context: ChannelHandlerContext, request: FullHttpRequest, body: String) {
+        val headers = request.headers()
+        val remaining = headers["rhubarbspool-remaining-milliseconds"]?.toLongOrNull() ?: Int.MAX_VALUE.toLong()
+        val deadlineAt = ProcessClock.monotonic() + remaining
+        waiting += Run(context, headers["rhubarbspool-call"], headers["idempotency-key"], request.uri(), body, deadlineAt)
+        startNext()
+    }
+
+    private fun startNext() {
+        val load = running + waiting.size
+        if (isCold && load > behaviour().coldSlots) {
+            mostAtOnceCold = maxOf(mostAtOnceCold, load)
+            fellOver++
+            startedAt = ProcessClock.monotonic()
+        }
+        while (running < behaviour().slots && waiting.isNotEmpty()) run(waiting.removeFirst())
+    }
+
+    private fun run(run: Run) {
+        if (ProcessClock.monotonic() >= run.deadlineAt || run.call in cancelled) {
+            run.context.answer(UNAVAILABLE, "deadline passed before the run", retryAfter = true)
+            return
+        }
+        running++
+        total++
+        mostAtOnce = maxOf(mostAtOnce, running)
+        if (isCold) mostAtOnceCold = maxOf(mostAtOnceCold, running)
+        run.requestId?.let { runsById.merge(it, 1, Int::plus) }
+        val current = incarnation
+        loop.schedule({ if (current == incarnation) finish(run) }, serviceMicroseconds(), TimeUnit.MICROSECONDS)
+    }
+
+    private fun serviceMicroseconds(): Long {
+        val spread = HALF - HALF * ln(1 - random.nextDouble())
+        val factor = behaviour().slowFactor * if (isCold) behaviour().coldFactor else 1.0
+        return (behaviour().serviceMilliseconds * factor * spread * MICROSECONDS).toLong()
+    }
+
+    private fun finish(run: Run) {
+        running--
+        val filler = "x".repeat(behaviour().answerBytes)
+        val text = "{\"server\":\"$name\",\"target\":\"${run.target}\",\"request\":\"${run.requestId ?: ""}\"," +
+            "\"echo\":\"${run.body.length}\",\"filler\":\"$filler\"}"
+        run.context.answer(OK, text)
+        startNext()
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+        const val HALF = 0.5
+        const val MICROSECONDS = 1_000.0
+    }
+}
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/StandIns.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/StandIns.kt
@@ -14,7 +14,8 @@
 
 /** Starts the stand-in named by the first argument. */
 object StandIns {
-    private const val USAGE = "usage: rhubarbspool-standins platform <address> | servers <behaviour.json> <name=address>..."
+    private const val USAGE =
+        "usage: rhubarbspool-standins platform <address> | servers <behaviour.json> <name=address>..."
     private const val EXIT_USAGE = 2
     private const val CRASHED = 137
 
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/TableStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/TableStandIn.kt
@@ -92,10 +92,10 @@
     fun counts(): PlatformCounts = PlatformCounts(reads, transactions, revision, rows.size)
 
     private fun live(key: String, wall: Long): RowMessage? {
-        val stored = rows[key] ?: return null
-        if (stored.expiresAt == null || stored.expiresAt > wall) return stored.row
-        remove(key)
-        return null
+        val stored = rows[key]
+        val expired = stored?.expiresAt != null && stored.expiresAt <= wall
+        if (expired) remove(key)
+        return stored?.row?.takeUnless { expired }
     }
 
     private fun store(stored: Stored) {
