--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ApplyCommand.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ApplyCommand.kt
@@ -11,11 +11,12 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.file
 import com.github.ajalt.clikt.parameters.types.long
-import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.configuration.ConfigurationReader
 import rhubarbspool.configuration.ServiceConfiguration
 import rhubarbspool.table.ConfigurationBody
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.RowTable
+import rhubarbspool.table.body
 
 /** Puts a configuration in force. */
 internal class ApplyCommand : SystemCommand("apply") {
@@ -33,7 +34,7 @@
 
     override fun execute(client: OperatorClient) {
         val text = file.readText()
-        val configuration = ConfigurationDocument.read(text).fold({ refuse(file.path, it) }, { it })
+        val configuration = ConfigurationReader.read(text).fold({ refuse(file.path, it) }, { it })
         val rows = client.rows()
         val old = rows.body<ConfigurationBody>(RowKeys.configuration(configuration.service))
         val number = (old?.number ?: 0) + 1
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/DocumentCommands.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/DocumentCommands.kt
@@ -12,7 +12,8 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.file
 import com.github.ajalt.mordant.terminal.prompt
-import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.configuration.ConfigurationReader
+import rhubarbspool.configuration.ConfigurationWriter
 import rhubarbspool.configuration.Question
 import rhubarbspool.configuration.Questionnaire
 import rhubarbspool.settings.Fault
@@ -32,8 +33,8 @@
     override fun run() {
         val document = answers?.readText() ?: ask()
         Questionnaire.configure(document).fold({ refuse("answers", it) }, { configuration ->
-            val text = ConfigurationDocument.write(configuration)
-            ConfigurationDocument.read(text).onLeft { refuse("answers", it) }
+            val text = ConfigurationWriter.write(configuration)
+            ConfigurationReader.read(text).onLeft { refuse("answers", it) }
             output?.writeText(text) ?: echo(text, trailingNewline = false)
         })
     }
@@ -63,7 +64,7 @@
 
     override fun run() {
         val faulty = files.filter { file ->
-            val faults = ConfigurationDocument.read(file.readText()).leftOrNull().orEmpty()
+            val faults = ConfigurationReader.read(file.readText()).leftOrNull().orEmpty()
             faults.forEach { echo("$file: $it", err = true) }
             if (faults.isEmpty()) echo("$file: valid")
             faults.isNotEmpty()
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ExplainCommand.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ExplainCommand.kt
@@ -8,12 +8,13 @@
 import com.github.ajalt.clikt.parameters.arguments.argument
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
-import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.configuration.ConfigurationReader
 import rhubarbspool.configuration.ServiceConfiguration
 import rhubarbspool.model.ServiceName
 import rhubarbspool.routing.KeyLocator
 import rhubarbspool.table.ConfigurationBody
 import rhubarbspool.table.RowKeys
+import rhubarbspool.table.body
 
 /** Where a key is served. */
 @Serializable
@@ -40,7 +41,7 @@
     override fun execute(client: OperatorClient) {
         val rows = client.rows()
         val row = rows.body<ConfigurationBody>(RowKeys.configuration(ServiceName(service)))
-        val configuration = row?.let { client.fetch(it.objectHash) }?.let { ConfigurationDocument.read(it).getOrNull() }
+        val configuration = row?.let { client.fetch(it.objectHash) }?.let { ConfigurationReader.read(it).getOrNull() }
         val location = configuration?.let { KeyLocator.locate(rows, it, key) }
         if (configuration == null || location == null) {
             echo(if (configuration == null) "no service $service is configured" else "no server owns $key", err = true)
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/OrderCommands.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/OrderCommands.kt
@@ -13,6 +13,7 @@
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
 import kotlinx.serialization.encodeToString
+import rhubarbspool.configuration.ConfigurationReader
 import rhubarbspool.model.ServiceName
 import rhubarbspool.table.AuditBody
 import rhubarbspool.table.DrainBody
@@ -20,6 +21,8 @@
 import rhubarbspool.table.QuarantineBody
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.RowTable
+import rhubarbspool.table.body
+import rhubarbspool.table.configurations
 import java.time.Instant
 
 /** Takes something out of service, or brings it back. */
@@ -78,7 +81,7 @@
 
     private fun serversOf(rows: RowTable, client: OperatorClient) = rows.configurations()
         .mapNotNull { client.fetch(it.objectHash) }
-        .mapNotNull { rhubarbspool.configuration.ConfigurationDocument.read(it).getOrNull() }
+        .mapNotNull { ConfigurationReader.read(it).getOrNull() }
         .flatMap { it.servers }.filter { it.domain.text == target }.map { it.name }
 
     private companion object {
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/StatusCommand.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/StatusCommand.kt
@@ -10,6 +10,10 @@
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.RowTable
 import rhubarbspool.table.ServerBody
+import rhubarbspool.table.body
+import rhubarbspool.table.configurations
+import rhubarbspool.table.drains
+import rhubarbspool.table.quarantines
 
 /** One instance. */
 @Serializable
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/ControllerGauges.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/ControllerGauges.kt
@@ -23,8 +23,8 @@
     fun update(node: ControlNode, table: HttpTableClient, now: Now) {
         if (now.monotonic - updatedAt < INTERVAL_MILLISECONDS) return
         updatedAt = now.monotonic
-        lease.set(if (node.leaseValid(now)) 1.0 else 0.0)
-        gates.set(node.orders(now).gates.size.toDouble())
+        lease.set(if (node.router.leaseValid(now)) 1.0 else 0.0)
+        gates.set(node.router.orders(now).gates.size.toDouble())
         rows.set(node.state.rows.size.toDouble())
         tableAge.set(node.state.tableAnsweredAt?.let { (now.monotonic - it) / MILLISECONDS_PER_SECOND } ?: -1.0)
         writes.set(table.writes.get().toDouble())
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/LocalService.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/LocalService.kt
@@ -7,7 +7,7 @@
 
 import com.google.protobuf.ByteString
 import io.grpc.stub.StreamObserver
-import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.configuration.ConfigurationWriter
 import rhubarbspool.control.ControlNode
 import rhubarbspool.control.CrashNotice
 import rhubarbspool.control.HotKey
@@ -40,7 +40,7 @@
         val now = ProcessClock.now()
         askedAt = now.monotonic
         val news = newsOf(report)
-        node.onRouterNews(news, now)
+        node.router.report(news, now)
         if (news.releasedGates.isNotEmpty() || news.releasedShards.isNotEmpty()) changed()
         observer.reply(orders(report, now))
     }
@@ -48,7 +48,7 @@
     private fun orders(report: RouterReport, now: Now): RouterOrders {
         val rows = node.state.rows
         val full = report.controllerRun != run
-        val orders = node.orders(now)
+        val orders = node.router.orders(now)
         return RouterOrders.newBuilder()
             .setControllerRun(run)
             .setViewSequence(rows.changes)
@@ -58,7 +58,7 @@
             .addAllReleaseShards(orders.releases.map(::releaseMessage))
             .addAllConfigurations(configurations(report, full))
             .setCompleteRevision(node.state.completeRevision)
-            .setUnrecordedAllowed(node.unrecordedAllowed(now))
+            .setUnrecordedAllowed(node.router.unrecordedAllowed(now))
             .setPhase(node.state.phase.name)
             .build()
     }
@@ -68,7 +68,7 @@
         return node.state.configurations.values
             .filter { full || it.number > (known[it.configuration.service.text] ?: 0) }
             .map { inForce ->
-                val text = ConfigurationDocument.write(inForce.configuration)
+                val text = ConfigurationWriter.write(inForce.configuration)
                 ConfigurationMessage.newBuilder()
                     .setService(inForce.configuration.service.text)
                     .setVersion(inForce.number)
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/PeerService.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/PeerService.kt
@@ -26,6 +26,7 @@
 import rhubarbspool.protocol.RowVersion
 import rhubarbspool.protocol.StatusReply
 import rhubarbspool.protocol.StatusRequest
+import rhubarbspool.table.versionsIn
 
 /** The peer service of one controller. */
 internal class PeerService(
@@ -46,7 +47,7 @@
     }
 
     override fun exchange(request: ExchangeRequest, observer: StreamObserver<ExchangeReply>) {
-        val mine = node.state.rows.digest()
+        val mine = node.state.rows.digest.values
         val differing = mine.indices.filter { request.bucketsList.getOrNull(it) != mine[it] }
         val versions = differing.flatMap { node.state.rows.versionsIn(it) }
             .map { RowVersion.newBuilder().setKey(it.key).setVersion(it.version).build() }
@@ -79,11 +80,11 @@
         val reply = StatusReply.newBuilder()
             .setInstance(state.identity.instance.text)
             .setGeneration(state.generation)
-            .setLeaseValid(node.leaseValid(now))
+            .setLeaseValid(node.router.leaseValid(now))
             .setCompleteRevision(state.completeRevision)
             .setTableAgeMilliseconds(state.tableAnsweredAt?.let { now.monotonic - it } ?: -1)
             .addAllConfigurations(configurations)
-            .addAllGates(node.orders(now).gates.map { it.server.text })
+            .addAllGates(node.router.orders(now).gates.map { it.server.text })
             .setRouterConnected(local.isConnected(now))
         observer.reply(reply.build())
     }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/ConfigurationDocument.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/ConfigurationReader.kt
@@ -1,5 +1,5 @@
 /*
- * YAML form of a service's configuration: reading with every fault named at once, and writing.
+ * Reads a service's configuration from YAML and names every fault at once.
  */
 package rhubarbspool.configuration
 
@@ -10,12 +10,17 @@
 import rhubarbspool.settings.DurationText
 import rhubarbspool.settings.Fault
 import rhubarbspool.settings.SettingsReader
-import rhubarbspool.settings.SizeText
-
-/** Reads and writes configurations as YAML. */
-object ConfigurationDocument {
+import rhubarbspool.settings.address
+import rhubarbspool.settings.choice
+import rhubarbspool.settings.duration
+import rhubarbspool.settings.flag
+import rhubarbspool.settings.number
+import rhubarbspool.settings.size
+import rhubarbspool.settings.text
+
+/** Reads configurations. */
+object ConfigurationReader {
     private const val NAME_SHAPE = "lower-case letters, digits and hyphens, at most 63"
-    private const val HOLD = "hold"
     private const val MAXIMUM_SHARDS = 65_536L
     private const val MAXIMUM_SERVERS = 2_000
     private const val MAXIMUM_ROUTES = 100
@@ -37,22 +42,6 @@
     /** Reads [text]; every fault when there is any. */
     fun read(text: String): Either<List<Fault>, ServiceConfiguration> = SettingsReader.read(text, ::readService)
 
-    /** Writes [configuration] so that [read] gives an equal value. */
-    fun write(configuration: ServiceConfiguration): String = buildString {
-        appendLine("service: ${configuration.service}")
-        appendLine("shards: ${configuration.shards}")
-        appendLine("whenCutOff: ${configuration.moveAfterMilliseconds?.let(DurationText::format) ?: HOLD}")
-        appendLine("repeatWindow: ${DurationText.format(configuration.repeatWindowMilliseconds)}")
-        append(writeLimits(configuration.limits))
-        appendLine("coldStart:")
-        appendLine("  slots: ${configuration.coldStart.slots}")
-        appendLine("  completions: ${configuration.coldStart.completions}")
-        appendLine("routes:")
-        configuration.routes.forEach { append(writeRoute(it)) }
-        appendLine("servers:")
-        configuration.servers.forEach { append(writeServer(it)) }
-    }
-
     private fun readService(reader: SettingsReader): ServiceConfiguration {
         val configuration = ServiceConfiguration(
             service = ServiceName(reader.text("service", NAME, NAME_SHAPE)),
@@ -68,13 +57,13 @@
             limits = reader.section("limits", ::readLimits),
             coldStart = reader.section("coldStart", ::readColdStart),
         )
-        checkTogether(reader, configuration)
+        ConfigurationChecks.check(reader, configuration)
         return configuration
     }
 
     private fun readWhenCutOff(reader: SettingsReader): Long? {
-        val text = reader.text("whenCutOff", HOLD)
-        if (text == HOLD) return null
+        val text = reader.text("whenCutOff", ConfigurationWriter.HOLD)
+        if (text == ConfigurationWriter.HOLD) return null
         val range = MINIMUM_MOVE_MILLISECONDS..MAXIMUM_MOVE_MILLISECONDS
         val duration = DurationText.parse(text)?.takeIf { it in range }
         if (duration == null) {
@@ -124,70 +113,4 @@
         completions =
         reader.number("completions", 1L..MAXIMUM_COMPLETIONS, ColdStart.DEFAULT_COMPLETIONS.toLong()).toInt(),
     )
-
-    private fun checkTogether(reader: SettingsReader, configuration: ServiceConfiguration) {
-        duplicates(configuration.servers.map { it.name.text })
-            .forEach { reader.fault("servers", "the name \"$it\" twice", "each name once") }
-        duplicates(configuration.servers.map { it.address.toString() })
-            .forEach { reader.fault("servers", "the address $it twice", "each address once") }
-        duplicates(configuration.routes.map { it.name })
-            .forEach { reader.fault("routes", "the name \"$it\" twice", "each name once") }
-        duplicates(configuration.routes.map { "${it.method} ${it.path}" })
-            .forEach { reader.fault("routes", "$it twice", "each method and path once") }
-        checkRoutes(reader, configuration)
-        val limits = configuration.limits
-        if (configuration.coldStart.slots > limits.slots) {
-            reader.fault("coldStart.slots", "${configuration.coldStart.slots}", "at most limits.slots ${limits.slots}")
-        }
-        if (limits.slots > limits.connections) {
-            reader.fault("limits.slots", "${limits.slots}", "at most limits.connections ${limits.connections}")
-        }
-    }
-
-    private fun checkRoutes(reader: SettingsReader, configuration: ServiceConfiguration) {
-        configuration.routes.forEachIndexed { position, route ->
-            if (route.coalesce && route.kind == RunKind.ONCE) {
-                reader.fault("routes[$position].coalesce", "true", "false on a route of kind once")
-            }
-            if (route.deadlineMilliseconds > configuration.limits.maximumExecutionMilliseconds) {
-                reader.fault(
-                    "routes[$position].deadline",
-                    DurationText.format(route.deadlineMilliseconds),
-                    "at most limits.maximumExecution " +
-                        DurationText.format(configuration.limits.maximumExecutionMilliseconds),
-                )
-            }
-        }
-    }
-
-    private fun duplicates(names: List<String>): Set<String> =
-        names.filter { it.isNotEmpty() }.groupingBy { it }.eachCount().filterValues { it > 1 }.keys
-
-    private fun writeLimits(limits: Limits): String = buildString {
-        appendLine("limits:")
-        appendLine("  slots: ${limits.slots}")
-        appendLine("  connections: ${limits.connections}")
-        appendLine("  maximumExecution: ${DurationText.format(limits.maximumExecutionMilliseconds)}")
-        appendLine("  requestBody: ${SizeText.format(limits.requestBodyBytes)}")
-        appendLine("  coalescedAnswer: ${SizeText.format(limits.coalescedAnswerBytes)}")
-        appendLine("  queueLength: ${limits.queueLength}")
-        appendLine("  silence: ${DurationText.format(limits.silenceMilliseconds)}")
-    }
-
-    private fun writeRoute(route: Route): String = buildString {
-        appendLine("  - name: ${route.name}")
-        appendLine("    method: ${route.method}")
-        appendLine("    path: ${route.path}")
-        appendLine("    kind: ${route.kind.label}")
-        appendLine("    priority: ${route.priority.label}")
-        appendLine("    coalesce: ${route.coalesce}")
-        appendLine("    deadline: ${DurationText.format(route.deadlineMilliseconds)}")
-    }
-
-    private fun writeServer(server: BackendServer): String = buildString {
-        appendLine("  - name: ${server.name}")
-        appendLine("    address: ${server.address}")
-        appendLine("    domain: ${server.domain}")
-        appendLine("    checksGrants: ${server.checksGrants}")
-    }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/Questionnaire.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/Questionnaire.kt
@@ -11,6 +11,10 @@
 import rhubarbspool.model.ServiceName
 import rhubarbspool.settings.Fault
 import rhubarbspool.settings.SettingsReader
+import rhubarbspool.settings.duration
+import rhubarbspool.settings.flag
+import rhubarbspool.settings.number
+import rhubarbspool.settings.text
 
 /**
  * One question.
@@ -31,6 +35,10 @@
     private const val MAXIMUM_SHARDS = 65_536L
     private const val MINIMUM_MILLISECONDS = 5L
     private const val MAXIMUM_MILLISECONDS = 600_000L
+    private const val MINIMUM_MOVE_MILLISECONDS = 2_000L
+    private const val READ_MILLISECONDS = 2_000L
+    private const val BOOKING_MILLISECONDS = 4_000L
+    private const val DOWNLOAD_MILLISECONDS = 5_000L
     private const val DAY_MILLISECONDS = 86_400_000L
     private const val SERVER_SHAPE = "a name, an address and a failure domain, such as board-01 127.0.0.1:9101 gandaki-a"
     private val TIMES = MINIMUM_MILLISECONDS..MAXIMUM_MILLISECONDS
@@ -167,11 +175,19 @@
                 RunKind.REPEATABLE,
                 Priority.NORMAL,
                 !personal,
-                within(reader, "readsWithin", 2_000)
+                within(reader, "readsWithin", READ_MILLISECONDS)
             )
         },
         route(reader, "bookings") { path ->
-            Route("book", "POST", path, RunKind.ONCE, Priority.HIGH, false, within(reader, "bookingsWithin", 4_000))
+            Route(
+                "book",
+                "POST",
+                path,
+                RunKind.ONCE,
+                Priority.HIGH,
+                false,
+                within(reader, "bookingsWithin", BOOKING_MILLISECONDS)
+            )
         },
         route(reader, "downloads") { path ->
             Route(
@@ -181,7 +197,7 @@
                 RunKind.REPEATABLE,
                 Priority.LOW,
                 false,
-                within(reader, "downloadsWithin", 5_000)
+                within(reader, "downloadsWithin", DOWNLOAD_MILLISECONDS)
             )
         },
     ).also { if (it.isEmpty()) reader.fault("reads", "no route at all", "a path for reads, bookings or downloads") }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/ServiceConfiguration.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/ServiceConfiguration.kt
@@ -26,9 +26,11 @@
 enum class Priority(val label: String, val handicap: Double) {
     HIGH("high", 0.0),
     NORMAL("normal", 0.0),
-    LOW("low", 8.0),
+    LOW("low", LOW_HANDICAP),
 }
 
+private const val LOW_HANDICAP = 8.0
+
 /**
  * A route of a service.
  *
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ConfigurationSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ConfigurationSystem.kt
@@ -4,10 +4,11 @@
  */
 package rhubarbspool.control
 
-import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.configuration.ConfigurationReader
 import rhubarbspool.model.Now
 import rhubarbspool.model.ServiceName
 import rhubarbspool.table.ConfigurationBody
+import rhubarbspool.table.configurations
 
 /** Fetches the texts of configurations that are not in force yet. */
 internal class ConfigurationSystem : ControlSystem {
@@ -31,13 +32,12 @@
     }
 
     /** Puts the object [hash] with [text] in force; the service it belongs to, null when it is not wanted. */
-    fun adopt(state: ControlState, hash: String, text: String): ServiceName? {
-        val row = wanted[hash] ?: return null
-        val configuration = ConfigurationDocument.read(text).getOrNull()?.takeIf { it.service == row.service }
+    fun adopt(state: ControlState, hash: String, text: String): ServiceName? = wanted[hash]?.let { row ->
         val current = state.configurations[row.service]?.number ?: 0
-        if (configuration == null || row.number <= current) return null
-        state.configurations[row.service] = ConfigurationInForce(row.number, configuration)
-        return row.service
+        val configuration = ConfigurationReader.read(text).getOrNull()
+            ?.takeIf { it.service == row.service && row.number > current }
+        configuration?.let { state.configurations[row.service] = ConfigurationInForce(row.number, it) }
+        configuration?.service
     }
 
     private companion object {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlState.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlState.kt
@@ -25,6 +25,7 @@
 import rhubarbspool.table.ShardBody
 import rhubarbspool.table.Transaction
 import rhubarbspool.table.VersionedRow
+import rhubarbspool.table.body
 import kotlin.random.Random
 
 /** Who this instance is; from its settings. */
@@ -65,7 +66,10 @@
     val target: ServerName?,
     val split: ShardBody? = null,
     val drained: Boolean = false,
-)
+) {
+    /** Whether the move only follows the plan and may be dropped when the plan changes. */
+    val isOptional: Boolean get() = !drained && split == null && target != null
+}
 
 /** A request fingerprint that was in flight when a server of [service] crashed. */
 data class CrashNotice(val service: ServiceName, val fingerprint: String)
@@ -121,7 +125,8 @@
     val self: MemberEntry? get() = rows.members[identity.instance]
 
     /** The remote takeover wait: the shortest time after which a service moves; null when none does. */
-    val remoteWait: Long? get() = configurations.values.mapNotNull { it.configuration.moveAfterMilliseconds }.minOrNull()
+    val remoteWait: Long?
+        get() = configurations.values.mapNotNull { it.configuration.moveAfterMilliseconds }.minOrNull()
 
     /** Lease that goes with the remote wait, shorter by the clock drift. */
     internal val remoteLease: Long? get() = remoteWait?.let { it * FULL / (FULL + times.clockDriftPercent) }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlSystem.kt
@@ -39,13 +39,22 @@
     return listOf(ControlEffect.Commit(change.purpose, transaction))
 }
 
-/** A line of the audit trail about what this instance did. */
-internal fun ControlState.audit(
-    action: String,
-    subject: String,
-    before: String,
-    after: String,
-    now: Now,
-    cause: String
-) =
-    AuditBody(identity.instance.text, action, subject, before, after, cause, now.wall)
+/** What happened to [subject], for the audit trail. */
+internal data class Trail(
+    val action: String,
+    val subject: String,
+    val before: String,
+    val after: String,
+    val cause: String,
+)
+
+/** A line of the audit trail about what this instance did at [now]. */
+internal fun ControlState.audit(trail: Trail, now: Now): AuditBody = AuditBody(
+    identity.instance.text,
+    trail.action,
+    trail.subject,
+    trail.before,
+    trail.after,
+    trail.cause,
+    now.wall,
+)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/GossipSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/GossipSystem.kt
@@ -6,7 +6,6 @@
 package rhubarbspool.control
 
 import rhubarbspool.model.Now
-import rhubarbspool.table.RowKeys
 
 /** Keeps the copies of rows alike. */
 internal class GossipSystem : ControlSystem {
@@ -30,8 +29,8 @@
     private fun exchange(state: ControlState, now: Now): List<ControlEffect> {
         if (now.monotonic - exchangedAt < EXCHANGE_MILLISECONDS) return emptyList()
         exchangedAt = now.monotonic
-        val peer = peers(state).randomOrNull(state.random) ?: return emptyList()
-        return listOf(ControlEffect.Exchange(peer, state.rows.digest()))
+        val peer = peers(state).randomOrNull(state.random)
+        return listOfNotNull(peer?.let { ControlEffect.Exchange(it, state.rows.digest.values) })
     }
 
     private fun scan(state: ControlState, now: Now): List<ControlEffect> {
@@ -57,15 +56,12 @@
         return maxOf(state.regainVersion, gates.maxOfOrNull { it.version } ?: 0, shards)
     }
 
-    companion object {
-        private const val FANOUT = 3
-        private const val EXCHANGE_MILLISECONDS = 1_000L
-        private const val SCAN_MILLISECONDS_PER_MEMBER = 100L
-        private const val MINIMUM_SCAN_MILLISECONDS = 500L
-        private const val MAXIMUM_SCAN_MILLISECONDS = 5_000L
-        private const val NEEDED_SCAN_MILLISECONDS = 20L
-
-        /** Whether rows under [key] are passed on between instances. */
-        fun isSpread(key: String): Boolean = RowKeys.isShared(key)
+    private companion object {
+        const val FANOUT = 3
+        const val EXCHANGE_MILLISECONDS = 1_000L
+        const val SCAN_MILLISECONDS_PER_MEMBER = 100L
+        const val MINIMUM_SCAN_MILLISECONDS = 500L
+        const val MAXIMUM_SCAN_MILLISECONDS = 5_000L
+        const val NEEDED_SCAN_MILLISECONDS = 20L
     }
 }
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/HotKeySystem.kt
@@ -0,0 +1,40 @@
+/*
+ * Hot keys: one that takes a large share of its server gets a shard of its own on the server with the fewest
+ * shards; when it has cooled down it goes back into its range.
+ */
+package rhubarbspool.control
+
+import rhubarbspool.configuration.ServiceConfiguration
+import rhubarbspool.model.Now
+import rhubarbspool.table.RowKeys
+import rhubarbspool.table.ShardBody
+import rhubarbspool.table.body
+import rhubarbspool.table.exists
+
+/** Splits hot keys out and merges cold ones back. */
+internal object HotKeySystem : ControlSystem {
+    private const val COLD_MILLISECONDS = 120_000L
+
+    override fun run(state: ControlState, now: Now): List<ControlEffect> {
+        state.ownGates().flatMap { state.rows.shardsOf(it.gate.server) }
+            .filter { it.shard.hotKey != null && it.key !in state.moves }
+            .filter { now.monotonic - state.hotSince.getOrPut(it.key) { now.monotonic } > COLD_MILLISECONDS }
+            .forEach { state.moves[it.key] = ShardMove(++state.lastOrder, it.version, it.shard.server, null) }
+        return emptyList()
+    }
+
+    /** Starts to split [hot] out of the range number [index], if this instance may. */
+    fun split(state: ControlState, configuration: ServiceConfiguration, hot: HotKey, index: Int) {
+        val rowKey = RowKeys.hotShard(configuration.service, hot.key)
+        val rangeKey = RowKeys.shard(configuration.service, index)
+        val owner = state.rows.body<ShardBody>(rangeKey)?.server
+        val isOwn = state.rows.gates[hot.server]?.let { state.isOwn(it) } ?: false
+        val isUnderWay = rowKey in state.moves || rangeKey in state.moves || state.rows.exists(rowKey)
+        val target = (state.eligibleServers(configuration) - hot.server)
+            .minByOrNull { state.rows.shardsOf(it).size }
+        if (owner != hot.server || !isOwn || isUnderWay || target == null) return
+        val body = ShardBody(configuration.service, index, target, hotKey = hot.key)
+        val version = state.rows.version(rangeKey)
+        state.moves[rowKey] = ShardMove(++state.lastOrder, version, hot.server, target, split = body)
+    }
+}
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ServerSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ServerSystem.kt
@@ -5,13 +5,14 @@
 package rhubarbspool.control
 
 import rhubarbspool.model.Now
-import rhubarbspool.model.ServerName
 import rhubarbspool.table.CommitResult
 import rhubarbspool.table.Condition
+import rhubarbspool.table.GateEntry
 import rhubarbspool.table.QuarantineBody
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.ServerBody
 import rhubarbspool.table.Write
+import rhubarbspool.table.body
 
 /** Writes the state of servers and the fingerprints of requests that crash them. */
 internal object ServerSystem : ControlSystem {
@@ -23,23 +24,23 @@
 
     override fun run(state: ControlState, now: Now): List<ControlEffect> {
         if (state.phase != Phase.JOINED) return emptyList()
-        return state.ownGates().flatMap { reachability(state, it.gate.server, now) } + quarantines(state, now)
+        return state.ownGates().flatMap { reachability(state, it, now) } + quarantines(state, now)
     }
 
-    private fun reachability(state: ControlState, server: ServerName, now: Now): List<ControlEffect> {
-        val reachable = state.reachable[server] ?: return emptyList()
+    private fun reachability(state: ControlState, gate: GateEntry, now: Now): List<ControlEffect> {
+        val server = gate.gate.server
         val key = RowKeys.server(server)
+        val reachable = state.reachable[server]
         val written = state.rows.body<ServerBody>(key)?.reachable ?: true
         val since = state.unreachableSince[server] ?: now.monotonic
-        val settled = reachable || now.monotonic - since >= UNREACHABLE_MILLISECONDS
-        val service = state.rows.gates[server]?.gate?.service
-        if (written == reachable || !settled || service == null) return emptyList()
-        val gateKey = RowKeys.gate(server)
+        val settled = reachable == true || now.monotonic - since >= UNREACHABLE_MILLISECONDS
+        if (reachable == null || written == reachable || !settled) return emptyList()
+        val trail = Trail("server", server.text, "reachable=$written", "reachable=$reachable", "seen by its gate")
         val change = Change(
             "server/$server",
-            listOf(Condition(key, state.rows.version(key)), Condition(gateKey, state.rows.version(gateKey))),
-            listOf(Write(key, ServerBody(server, service, reachable))),
-            state.audit("server", server.text, "reachable=$written", "reachable=$reachable", now, "seen by its gate"),
+            listOf(Condition(key, state.rows.version(key)), GateRanking.unchanged(gate)),
+            listOf(Write(key, ServerBody(server, gate.gate.service, reachable))),
+            state.audit(trail, now),
         )
         return state.submit(change, now)
     }
@@ -52,11 +53,12 @@
             val crashes = (old?.crashes ?: 0) + 1
             val body =
                 QuarantineBody(notice.service, notice.fingerprint, crashes, now.wall + QUARANTINE_MILLISECONDS)
+            val trail = Trail("crash", key, "crashes=${crashes - 1}", "crashes=$crashes", "in flight at a crash")
             val change = Change(
                 key,
                 listOf(Condition(key, state.rows.version(key))),
                 listOf(Write(key, body)),
-                state.audit("crash", key, "crashes=${crashes - 1}", "crashes=$crashes", now, "in flight at a crash"),
+                state.audit(trail, now),
             )
             state.submit(change, now) { result, _ ->
                 if (result is CommitResult.Committed) state.crashes.remove(notice)
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ShardCreationSystem.kt
@@ -0,0 +1,50 @@
+/*
+ * Creates the shards of a new service. Any instance may; one goes first, and a race leaves one winner.
+ */
+package rhubarbspool.control
+
+import rhubarbspool.configuration.ServiceConfiguration
+import rhubarbspool.model.Now
+import rhubarbspool.placement.Rendezvous
+import rhubarbspool.table.Condition
+import rhubarbspool.table.RowKeys
+import rhubarbspool.table.ShardBody
+import rhubarbspool.table.Write
+
+/** Creates shards. */
+internal class ShardCreationSystem : ControlSystem {
+    private val complete = HashMap<String, Int>()
+
+    override fun run(state: ControlState, now: Now): List<ControlEffect> {
+        if (state.phase != Phase.JOINED) return emptyList()
+        return state.configurations.values.map { it.configuration }
+            .filter { complete[it.service.text] != it.shards }
+            .flatMap { create(state, it, now) }
+    }
+
+    private fun create(state: ControlState, configuration: ServiceConfiguration, now: Now): List<ControlEffect> {
+        val missing = (0 until configuration.shards)
+            .filter { state.rows.row(RowKeys.shard(configuration.service, it)) == null }
+        if (missing.isEmpty()) complete[configuration.service.text] = configuration.shards
+        val eligible = state.eligibleServers(configuration).toList()
+        val mine = missing.isNotEmpty() && eligible.isNotEmpty() && isCreator(state, configuration)
+        if (!mine) return emptyList()
+        val batch = missing.take(BATCH)
+        val writes = batch.map { index ->
+            val owner = eligible[index % eligible.size]
+            Write(RowKeys.shard(configuration.service, index), ShardBody(configuration.service, index, owner))
+        }
+        val range = "${configuration.service} ${batch.first()}..${batch.last()}"
+        val audit = state.audit(Trail("create-shards", range, "none", "${eligible.size} servers", "new service"), now)
+        val conditions = writes.map { Condition(it.key, 0) }
+        return state.submit(Change("create/${configuration.service}", conditions, writes, audit), now)
+    }
+
+    private fun isCreator(state: ControlState, configuration: ServiceConfiguration): Boolean =
+        Rendezvous.order(configuration.service.text, state.activeMembers()) { it.member.instance.text }
+            .firstOrNull()?.member?.instance == state.identity.instance
+
+    private companion object {
+        const val BATCH = 500
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ShardMoveSystem.kt
@@ -0,0 +1,109 @@
+/*
+ * Moves shards. Only the holder of the owning server's gate moves a shard: it has its router stop sending for the
+ * shard and settle what was sent, and then writes the new owner. So release always comes before grant, and no
+ * third party needs to be trusted with it.
+ */
+package rhubarbspool.control
+
+import rhubarbspool.model.Now
+import rhubarbspool.model.ServerName
+import rhubarbspool.placement.PlacementPlan
+import rhubarbspool.placement.PlannedMove
+import rhubarbspool.table.CommitResult
+import rhubarbspool.table.Condition
+import rhubarbspool.table.GateEntry
+import rhubarbspool.table.RowKeys
+import rhubarbspool.table.ShardBody
+import rhubarbspool.table.Write
+import rhubarbspool.table.body
+import rhubarbspool.table.exists
+
+/** Plans moves away from the servers whose gates this instance holds, and carries them out. */
+internal class ShardMoveSystem : ControlSystem {
+    private val plans = HashMap<String, List<PlannedMove>>()
+    private var plannedAt = -1L
+
+    override fun run(state: ControlState, now: Now): List<ControlEffect> {
+        if (state.phase != Phase.JOINED && state.phase != Phase.LEAVING) return emptyList()
+        dropStaleMoves(state)
+        if (plannedAt != state.rows.changes) plans.clear()
+        plannedAt = state.rows.changes
+        state.ownGates().forEach { plan(state, it, now) }
+        return finishMoves(state, now)
+    }
+
+    private fun dropStaleMoves(state: ControlState) = state.moves.entries.removeAll { (key, move) ->
+        val gate = state.rows.gates[move.source]
+        val lost = gate == null || !state.isOwn(gate)
+        val overtaken = if (move.split == null) state.rows.version(key) != move.version else state.rows.exists(key)
+        lost || overtaken
+    }
+
+    private fun plan(state: ControlState, gate: GateEntry, now: Now) {
+        val configuration = state.configurations[gate.gate.service]?.configuration ?: return
+        val eligible = state.eligibleServers(configuration)
+        val moves = plans.getOrPut("${configuration.service}$eligible") {
+            PlacementPlan.moves(state.rows.shardsOf(configuration.service), eligible)
+        }
+        adopt(state, gate.gate.server, moves.filter { it.shard.shard.server == gate.gate.server }, eligible, now)
+    }
+
+    private fun adopt(
+        state: ControlState,
+        server: ServerName,
+        moves: List<PlannedMove>,
+        eligible: Set<ServerName>,
+        now: Now,
+    ) {
+        val wanted = moves.mapTo(HashSet()) { it.shard.key }
+        state.moves.entries.removeAll { (key, move) -> move.source == server && move.isOptional && key !in wanted }
+        val urgent = server !in eligible
+        val waits = urgent && state.reachable[server] == false && !isSettled(state, server, now)
+        val open = state.moves.values.count { it.source == server }
+        val room = if (urgent) Int.MAX_VALUE else maxOf(0, EVENING_MOVES - open)
+        moves.filter { !waits && it.shard.key !in state.moves }.take(room).forEach { move ->
+            state.moves[move.shard.key] = ShardMove(++state.lastOrder, move.shard.version, server, move.target)
+        }
+    }
+
+    private fun isSettled(state: ControlState, server: ServerName, now: Now): Boolean =
+        state.unreachableSince[server]?.let { now.monotonic - it >= ServerSystem.UNREACHABLE_MILLISECONDS } ?: true
+
+    private fun finishMoves(state: ControlState, now: Now): List<ControlEffect> =
+        state.moves.entries.filter { it.value.drained }.groupBy { it.value.source }.flatMap { (source, entries) ->
+            commit(state, source, entries.take(BATCH).associate { it.key to it.value }, now)
+        }
+
+    private fun commit(
+        state: ControlState,
+        source: ServerName,
+        moves: Map<String, ShardMove>,
+        now: Now,
+    ): List<ControlEffect> {
+        val gateUnchanged = GateRanking.unchanged(state.rows.gates.getValue(source))
+        val conditions = moves.flatMap { (key, move) -> conditions(state, key, move) } + gateUnchanged
+        val writes = moves.map { (key, move) -> Write(key, nextBody(state, key, move)) }
+        val targets = moves.values.map { "${it.target ?: "range"}" }.distinct().joinToString()
+        val trail = Trail("move-shards", moves.keys.joinToString(), source.text, targets, "placement")
+        val change = Change("move/$source", conditions, writes, state.audit(trail, now))
+        return state.submit(change, now) { result, _ ->
+            if (result !is CommitResult.Unknown) moves.keys.forEach(state.moves::remove)
+        }
+    }
+
+    private fun conditions(state: ControlState, key: String, move: ShardMove): List<Condition> {
+        val split = move.split ?: return listOf(Condition(key, move.version))
+        val range = RowKeys.shard(split.service, split.index)
+        return listOf(Condition(range, move.version), Condition(key, state.rows.version(key)))
+    }
+
+    private fun nextBody(state: ControlState, key: String, move: ShardMove): ShardBody? =
+        move.split ?: move.target?.let { target ->
+            state.rows.body<ShardBody>(key)?.let { it.copy(server = target, epoch = it.epoch + 1) }
+        }
+
+    private companion object {
+        const val BATCH = 100
+        const val EVENING_MOVES = 2
+    }
+}
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/SuccessorSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/SuccessorSystem.kt
@@ -25,9 +25,8 @@
     }
 
     private fun write(state: ControlState, now: Now): List<ControlEffect> {
-        val row = state.self?.member ?: return emptyList()
-        val due = now.monotonic - wroteAt >= state.times.renewal
-        if (!due || row.generation != state.generation) return emptyList()
+        val row = state.self?.member?.takeIf { it.generation == state.generation }
+        if (row == null || now.monotonic - wroteAt < state.times.renewal) return emptyList()
         val wanted = withSuccessors(state, row, now)
         if (wanted == row && !needsConfirmation(state, now)) return emptyList()
         wroteAt = now.monotonic
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/TakeoverSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/TakeoverSystem.kt
@@ -46,20 +46,14 @@
         val selfKey = RowKeys.member(state.identity.instance)
         val holderKey = RowKeys.member(holder.member.instance)
         val conditions = listOf(Condition(holderKey, holder.version), Condition(selfKey, state.rows.version(selfKey))) +
-            gates.map { Condition(RowKeys.gate(it.gate.server), it.version) }
+            gates.map(GateRanking::unchanged)
         val suspectUntil = suspectUntil(state, holder.member, now)
         val writes = listOf(Write(holderKey, replaced(holder.member, scope))) +
-            gates.map { Write(RowKeys.gate(it.gate.server), GateSystem.claimedBy(state, it, suspectUntil)) }
-        val audit = state.audit(
-            "takeover",
-            holder.member.instance.text,
-            "holder",
-            "gone",
-            now,
-            "no sign of life ($scope)"
-        )
+            gates.map { GateRanking.claim(state, it, suspectUntil) }
+        val trail = Trail("takeover", holder.member.instance.text, "holder", "gone", "no sign of life ($scope)")
+        val change = Change("takeover/${holder.member.instance}", conditions, writes, state.audit(trail, now))
         state.promises.attempting(holder.member.instance)
-        return state.submit(Change("takeover/${holder.member.instance}", conditions, writes, audit), now) { _, _ ->
+        return state.submit(change, now) { _, _ ->
             state.promises.resolved(holder.member.instance)
         }
     }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/errors/ErrorKind.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/errors/ErrorKind.kt
@@ -18,6 +18,21 @@
     UNKNOWN("unknown"),
 }
 
+/** HTTP statuses of answers that the system makes up itself. */
+internal object HttpStatus {
+    const val BAD_REQUEST = 400
+    const val NOT_FOUND = 404
+    const val METHOD_NOT_ALLOWED = 405
+    const val CONTENT_TOO_LARGE = 413
+    const val EXPECTATION_FAILED = 417
+    const val UNPROCESSABLE = 422
+    const val HEADERS_TOO_LARGE = 431
+    const val INTERNAL_ERROR = 500
+    const val BAD_GATEWAY = 502
+    const val UNAVAILABLE = 503
+    const val GATEWAY_TIMEOUT = 504
+}
+
 /**
  * Every error that a caller can see.
  *
@@ -27,34 +42,99 @@
  * @property summary one sentence for the answer's body.
  */
 enum class ErrorKind(val status: Int, val outcome: Outcome, val retryable: Boolean, val summary: String) {
-    MALFORMED_REQUEST(400, Outcome.NOT_RUN, false, "The request is not valid HTTP."),
-    REQUEST_ID_MISSING(400, Outcome.NOT_RUN, false, "This route runs once only and needs an Idempotency-Key header."),
-    REQUEST_ID_REUSED(422, Outcome.NOT_RUN, false, "The Idempotency-Key was used before for another request."),
-    UNKNOWN_SERVICE(404, Outcome.NOT_RUN, false, "No such service is configured."),
-    UNKNOWN_ROUTE(404, Outcome.NOT_RUN, false, "The service has no such route."),
-    METHOD_NOT_ALLOWED(405, Outcome.NOT_RUN, false, "The route exists under another method."),
-    KEY_MISSING(400, Outcome.NOT_RUN, false, "The route needs a key and the request names none."),
-    HEADERS_TOO_LARGE(431, Outcome.NOT_RUN, false, "The request line or the headers are too large."),
-    BODY_TOO_LARGE(413, Outcome.NOT_RUN, false, "The request body is too large."),
-    EXPECTATION_FAILED(417, Outcome.NOT_RUN, false, "The Expect header can't be met."),
-    TOO_MANY_CONNECTIONS(503, Outcome.NOT_RUN, true, "The instance has no room for more connections."),
-    OVERLOADED(503, Outcome.NOT_RUN, true, "The server of this key can't meet the deadline."),
-    DEADLINE_BEFORE_RUN(503, Outcome.NOT_RUN, true, "The deadline passed before the request was run."),
-    NO_OWNER(503, Outcome.NOT_RUN, true, "No server owns the key at the moment."),
-    GATE_UNREACHABLE(503, Outcome.NOT_RUN, true, "The instance in charge of the key's server can't be reached."),
-    GATE_MOVED(503, Outcome.NOT_RUN, true, "The instance in charge of the key's server is changing."),
-    SERVER_UNREACHABLE(503, Outcome.NOT_RUN, true, "The key's server can't be reached."),
-    RECORD_UNAVAILABLE(503, Outcome.NOT_RUN, true, "A once-only request can't be recorded at the moment."),
-    NO_CONFIGURATION(503, Outcome.NOT_RUN, true, "The instance has no configuration yet."),
-    STOPPING(503, Outcome.NOT_RUN, true, "The instance is being stopped."),
-    QUARANTINED(503, Outcome.NOT_RUN, true, "This request stopped several servers and is not run for now."),
-    REJECTED(503, Outcome.REJECTED_BY_SERVER, true, "The server refused the request before running it."),
-    OUTCOME_UNKNOWN(504, Outcome.UNKNOWN, false, "The request may have run; its outcome is not known."),
-    GATE_LOST(504, Outcome.UNKNOWN, true, "The instance in charge stopped answering; the request may have run."),
-    DEADLINE_AFTER_RUN(504, Outcome.UNKNOWN, false, "The deadline passed while the request was running."),
-    ANSWER_CUT_SHORT(502, Outcome.UNKNOWN, false, "The server's answer ended before it was whole."),
-    ANSWER_INVALID(502, Outcome.UNKNOWN, false, "The server's answer was not valid HTTP."),
-    INTERNAL(500, Outcome.UNKNOWN, false, "An unexpected fault; the log has its cause."),
+    MALFORMED_REQUEST(HttpStatus.BAD_REQUEST, Outcome.NOT_RUN, false, "The request is not valid HTTP."),
+    REQUEST_ID_MISSING(
+        HttpStatus.BAD_REQUEST,
+        Outcome.NOT_RUN,
+        false,
+        "This route runs once only and needs an Idempotency-Key header."
+    ),
+    REQUEST_ID_REUSED(
+        HttpStatus.UNPROCESSABLE,
+        Outcome.NOT_RUN,
+        false,
+        "The Idempotency-Key was used before for another request."
+    ),
+    UNKNOWN_SERVICE(HttpStatus.NOT_FOUND, Outcome.NOT_RUN, false, "No such service is configured."),
+    UNKNOWN_ROUTE(HttpStatus.NOT_FOUND, Outcome.NOT_RUN, false, "The service has no such route."),
+    METHOD_NOT_ALLOWED(HttpStatus.METHOD_NOT_ALLOWED, Outcome.NOT_RUN, false, "The route exists under another method."),
+    KEY_MISSING(HttpStatus.BAD_REQUEST, Outcome.NOT_RUN, false, "The route needs a key and the request names none."),
+    HEADERS_TOO_LARGE(
+        HttpStatus.HEADERS_TOO_LARGE,
+        Outcome.NOT_RUN,
+        false,
+        "The request line or the headers are too large."
+    ),
+    BODY_TOO_LARGE(HttpStatus.CONTENT_TOO_LARGE, Outcome.NOT_RUN, false, "The request body is too large."),
+    EXPECTATION_FAILED(HttpStatus.EXPECTATION_FAILED, Outcome.NOT_RUN, false, "The Expect header can't be met."),
+    TOO_MANY_CONNECTIONS(
+        HttpStatus.UNAVAILABLE,
+        Outcome.NOT_RUN,
+        true,
+        "The instance has no room for more connections."
+    ),
+    OVERLOADED(HttpStatus.UNAVAILABLE, Outcome.NOT_RUN, true, "The server of this key can't meet the deadline."),
+    DEADLINE_BEFORE_RUN(
+        HttpStatus.UNAVAILABLE,
+        Outcome.NOT_RUN,
+        true,
+        "The deadline passed before the request was run."
+    ),
+    NO_OWNER(HttpStatus.UNAVAILABLE, Outcome.NOT_RUN, true, "No server owns the key at the moment."),
+    GATE_UNREACHABLE(
+        HttpStatus.UNAVAILABLE,
+        Outcome.NOT_RUN,
+        true,
+        "The instance in charge of the key's server can't be reached."
+    ),
+    GATE_MOVED(
+        HttpStatus.UNAVAILABLE,
+        Outcome.NOT_RUN,
+        true,
+        "The instance in charge of the key's server is changing."
+    ),
+    SERVER_UNREACHABLE(HttpStatus.UNAVAILABLE, Outcome.NOT_RUN, true, "The key's server can't be reached."),
+    RECORD_UNAVAILABLE(
+        HttpStatus.UNAVAILABLE,
+        Outcome.NOT_RUN,
+        true,
+        "A once-only request can't be recorded at the moment."
+    ),
+    NO_CONFIGURATION(HttpStatus.UNAVAILABLE, Outcome.NOT_RUN, true, "The instance has no configuration yet."),
+    STOPPING(HttpStatus.UNAVAILABLE, Outcome.NOT_RUN, true, "The instance is being stopped."),
+    QUARANTINED(
+        HttpStatus.UNAVAILABLE,
+        Outcome.NOT_RUN,
+        true,
+        "This request stopped several servers and is not run for now."
+    ),
+    REJECTED(
+        HttpStatus.UNAVAILABLE,
+        Outcome.REJECTED_BY_SERVER,
+        true,
+        "The server refused the request before running it."
+    ),
+    OUTCOME_UNKNOWN(
+        HttpStatus.GATEWAY_TIMEOUT,
+        Outcome.UNKNOWN,
+        false,
+        "The request may have run; its outcome is not known."
+    ),
+    GATE_LOST(
+        HttpStatus.GATEWAY_TIMEOUT,
+        Outcome.UNKNOWN,
+        true,
+        "The instance in charge stopped answering; the request may have run."
+    ),
+    DEADLINE_AFTER_RUN(
+        HttpStatus.GATEWAY_TIMEOUT,
+        Outcome.UNKNOWN,
+        false,
+        "The deadline passed while the request was running."
+    ),
+    ANSWER_CUT_SHORT(HttpStatus.BAD_GATEWAY, Outcome.UNKNOWN, false, "The server's answer ended before it was whole."),
+    ANSWER_INVALID(HttpStatus.BAD_GATEWAY, Outcome.UNKNOWN, false, "The server's answer was not valid HTTP."),
+    INTERNAL(HttpStatus.INTERNAL_ERROR, Outcome.UNKNOWN, false, "An unexpected fault; the log has its cause."),
 }
 
 /** An error of [kind] with a [detail] for the log and, where known, when to come back. */
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/Admission.kt
@@ -0,0 +1,48 @@
+/*
+ * Whether a request is taken, and early enough refusal of those that can't meet their deadline.
+ */
+package rhubarbspool.gate
+
+import rhubarbspool.errors.ErrorKind
+import rhubarbspool.errors.RequestError
+
+/** Admits requests to one gate. */
+internal class Admission(private val state: GateState) {
+    /** Why [request] can't be taken at [now], whatever waits; null when it can. */
+    fun refusal(request: GateRequest, now: Long): RequestError? = when {
+        !state.open -> moved()
+        state.suspects.quarantined(request.fingerprint, now) -> quarantined(request, now)
+        request.deadlineAt <= now -> RequestError(ErrorKind.DEADLINE_BEFORE_RUN, retryAfterMilliseconds = 0)
+        else -> null
+    }
+
+    /** Why [request] can't be added at [now] to what waits already; null when it can. */
+    fun overload(request: GateRequest, now: Long): RequestError? {
+        val ahead = state.inFlight + state.queue.size
+        val full = state.queue.size >= state.configuration.limits.queueLength
+        val service = state.slots.serviceTime * state.policy.headroom(ahead)
+        val late = now + waitTime() + service > request.deadlineAt
+        val refuse = state.policy.earlyRefusal && (full || late)
+        return if (refuse) RequestError(ErrorKind.OVERLOADED, retryAfterMilliseconds = waitTime().toLong()) else null
+    }
+
+    /** Expected time until a slot is free for one more request. */
+    fun waitTime(): Double {
+        val ahead = state.inFlight + state.queue.size - state.slots.allowed + 1
+        return if (ahead <= 0) 0.0 else ahead * state.slots.serviceTime / state.slots.allowed
+    }
+
+    /** The error for a request whose fingerprint is quarantined. */
+    fun quarantined(request: GateRequest, now: Long): RequestError {
+        val remaining = state.suspects.remaining(request.fingerprint, now)
+        return RequestError(ErrorKind.QUARANTINED, request.fingerprint, remaining)
+    }
+
+    /** The error for a request whose gate is elsewhere. */
+    fun moved() = RequestError(ErrorKind.GATE_MOVED, retryAfterMilliseconds = BACK_SOON)
+
+    companion object {
+        /** When to come back after something that mends itself quickly, in milliseconds. */
+        const val BACK_SOON: Long = 500
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateState.kt
@@ -0,0 +1,103 @@
+/*
+ * What one gate knows: its calls, what waits, the slots of its server, and the records of once-only requests.
+ */
+package rhubarbspool.gate
+
+import rhubarbspool.configuration.ServiceConfiguration
+import rhubarbspool.errors.RequestError
+
+/**
+ * One run at the server, named by the id of the request that started it. Several requests may wait for it: equal
+ * reads that share its answer, and repeats of a once-only request.
+ */
+internal class GateCall(val request: GateRequest) {
+    /** Requests that wait for this call. */
+    val members = linkedMapOf(request.id to request)
+
+    /** When the call was sent to the server; null while it is not there. */
+    var sentAt: Long? = null
+    var attempts = 0
+
+    /** Whether the table was asked for a record and has not answered. */
+    var recording = false
+
+    val isSent: Boolean get() = sentAt != null
+    val deadlineAt: Long get() = members.values.maxOf { it.deadlineAt }
+}
+
+/** State of one gate. */
+internal class GateState(
+    var configuration: ServiceConfiguration,
+    val suspects: CrashSuspects,
+    val policy: GatePolicy,
+) {
+    private val callOf = HashMap<Long, Long>()
+    private val shared = HashMap<String, Long>()
+
+    val calls = HashMap<Long, GateCall>()
+    val queue = FairQueue()
+    val once = OnceRegistry(configuration.repeatWindowMilliseconds)
+    val slots = SlotLimit(configuration.limits.slots, coldStart())
+    var inFlight = 0
+    var open = false
+    var suspectUntil = Long.MIN_VALUE
+    var unrecordedAllowed = false
+
+    /** Takes over a new configuration of the service. */
+    fun reconfigure(next: ServiceConfiguration) {
+        configuration = next
+        slots.resize(next.limits.slots, coldStart())
+    }
+
+    /** The call that the request [id] waits for. */
+    fun callOf(id: Long): GateCall? = callOf[id]?.let { calls[it] }
+
+    /** The call whose answer a request with [coalesceKey] may share. */
+    fun sharedCall(coalesceKey: String?): GateCall? = coalesceKey?.let { shared[it] }?.let { calls[it] }
+
+    /** Starts a call for [request]. */
+    fun start(request: GateRequest): GateCall {
+        val call = GateCall(request)
+        calls[request.id] = call
+        callOf[request.id] = request.id
+        request.coalesceKey?.let { shared[it] = request.id }
+        return call
+    }
+
+    /** Lets [request] wait for [call]. */
+    fun attach(request: GateRequest, call: GateCall): List<GateEffect> {
+        call.members[request.id] = request
+        callOf[request.id] = call.request.id
+        return listOf(GateEffect.Attach(request.id, call.request.id))
+    }
+
+    /** The request [id] waits for [call] no more. */
+    fun detach(id: Long, call: GateCall) {
+        call.members.remove(id)
+        callOf.remove(id)
+    }
+
+    /** Answers all members of [call] with [error] and forgets the call; [ranAt] when it may have run. */
+    fun end(call: GateCall, error: RequestError, ranAt: Long? = null): List<GateEffect> {
+        val members = call.members.keys.toList()
+        drop(call, notRun = ranAt == null)
+        val onceId = call.request.onceId
+        if (onceId != null && ranAt != null) once[onceId] = OnceRegistry.Entry.Unclear(call.request.fingerprint, ranAt)
+        return members.map { GateEffect.Refuse(it, error) }
+    }
+
+    /** Forgets [call]; with [notRun] its record says that it was certainly not run. */
+    fun drop(call: GateCall, notRun: Boolean) {
+        val request = call.request
+        calls.remove(request.id)
+        call.members.keys.forEach(callOf::remove)
+        queue.remove(request.id)
+        request.coalesceKey?.let { shared.remove(it, request.id) }
+        if (notRun && request.onceId != null) {
+            once[request.onceId] = OnceRegistry.Entry.NotRun(request.fingerprint, request.deadlineAt)
+        }
+    }
+
+    private fun coldStart() =
+        configuration.coldStart.let { if (policy.slowStart) it else it.copy(slots = configuration.limits.slots) }
+}
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/routing/KeyLocator.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/routing/KeyLocator.kt
@@ -13,6 +13,7 @@
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.RowTable
 import rhubarbspool.table.ShardBody
+import rhubarbspool.table.body
 
 /**
  * Where a key is served.
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/routing/RouteTable.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/routing/RouteTable.kt
@@ -24,23 +24,31 @@
 class RouteTable(private val services: Map<ServiceName, ServiceConfiguration>) {
     /** Finds the route of [method] on [target], the path with its query. */
     fun match(method: String, target: String): Either<RequestError, RouteMatch> {
-        if (services.isEmpty()) {
-            return RequestError(
-                ErrorKind.NO_CONFIGURATION,
-                retryAfterMilliseconds = RETRY_MILLISECONDS
-            ).left()
-        }
         val path = target.substringBefore('?')
         val name = path.removePrefix("/").substringBefore('/')
-        val configuration = services[ServiceName(name)] ?: return RequestError(ErrorKind.UNKNOWN_SERVICE, name).left()
-        val serverPath = path.removePrefix("/$name")
-        val matches = configuration.routes.mapNotNull { route -> keyOf(route.path, serverPath)?.let { route to it } }
+        val configuration = services[ServiceName(name)]
+        return when {
+            services.isEmpty() ->
+                RequestError(ErrorKind.NO_CONFIGURATION, retryAfterMilliseconds = RETRY_MILLISECONDS).left()
+
+            configuration == null -> RequestError(ErrorKind.UNKNOWN_SERVICE, name).left()
+            else -> match(configuration, method, path.removePrefix("/$name"), target.removePrefix("/$name"))
+        }
+    }
+
+    private fun match(
+        configuration: ServiceConfiguration,
+        method: String,
+        path: String,
+        serverPath: String,
+    ): Either<RequestError, RouteMatch> {
+        val matches = configuration.routes.mapNotNull { route -> keyOf(route.path, path)?.let { route to it } }
         val chosen = matches.firstOrNull { it.first.method == method }
         return when {
-            matches.isEmpty() -> RequestError(ErrorKind.UNKNOWN_ROUTE, serverPath).left()
+            matches.isEmpty() -> RequestError(ErrorKind.UNKNOWN_ROUTE, path).left()
             chosen == null -> RequestError(ErrorKind.METHOD_NOT_ALLOWED, method).left()
-            chosen.second.isEmpty() -> RequestError(ErrorKind.KEY_MISSING, serverPath).left()
-            else -> RouteMatch(configuration, chosen.first, chosen.second, target.removePrefix("/$name")).right()
+            chosen.second.isEmpty() -> RequestError(ErrorKind.KEY_MISSING, path).left()
+            else -> RouteMatch(configuration, chosen.first, chosen.second, serverPath).right()
         }
     }
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/settings/SettingsReader.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/settings/SettingsReader.kt
@@ -15,7 +15,6 @@
 import com.charleskorn.kaml.YamlNode
 import com.charleskorn.kaml.YamlNull
 import com.charleskorn.kaml.YamlScalar
-import rhubarbspool.model.Address
 
 /** Reads the entries of one mapping of a document; [faults] is shared by the whole document. */
 class SettingsReader private constructor(
@@ -25,53 +24,16 @@
 ) {
     private val known = sortedSetOf<String>()
 
-    /** Text under [name]; a fault when it is missing and there is no [default]. */
-    fun text(name: String, default: String? = null): String = scalar(name, "a text", default) { it }.orEmpty()
-
-    /** Text under [name] that [pattern] matches; [shape] says so in words. */
-    fun text(name: String, pattern: Regex, shape: String, default: String? = null): String =
-        scalar(name, shape, default) { text -> text.takeIf { pattern.matches(it) } }.orEmpty()
-
-    /** Whole number under [name] within [range]. */
-    fun number(name: String, range: LongRange, default: Long? = null): Long =
-        scalar(name, "a whole number from ${range.first} to ${range.last}", default) { text ->
-            text.toLongOrNull()?.takeIf { it in range }
-        } ?: range.first
-
-    /** Milliseconds of the duration under [name] within [range]. */
-    fun duration(name: String, range: LongRange, default: Long? = null): Long {
-        val bounds = "${DurationText.format(range.first)} to ${DurationText.format(range.last)}"
-        return scalar(name, "${DurationText.SHAPE}, from $bounds", default) { text ->
-            DurationText.parse(text)?.takeIf { it in range }
-        } ?: range.first
-    }
-
-    /** Bytes of the size under [name] within [range]. */
-    fun size(name: String, range: LongRange, default: Long? = null): Long {
-        val bounds = "${SizeText.format(range.first)} to ${SizeText.format(range.last)}"
-        return scalar(name, "${SizeText.SHAPE}, from $bounds", default) { text ->
-            SizeText.parse(text)?.takeIf { it in range }
-        } ?: range.first
+    /** Value under [name] as [convert] reads it; a fault that names [allowed] when it can't, or there is no [default]. */
+    fun <T : Any> value(name: String, allowed: String, default: T?, convert: (String) -> T?): T? {
+        known += name
+        val node = entries[name]
+        val value = (node as? YamlScalar)?.content?.let(convert)
+        if (value != null) return value
+        if (node != null || default == null) fault(name, node?.let(::describe) ?: "nothing", allowed)
+        return default
     }
 
-    /** `true` or `false` under [name]. */
-    fun flag(name: String, default: Boolean? = null): Boolean =
-        scalar(name, "true or false", default) { it.toBooleanStrictOrNull() } ?: false
-
-    /** One of [values] under [name], written as [label] gives it. */
-    fun <T : Any> choice(name: String, values: List<T>, default: T? = null, label: (T) -> String): T =
-        scalar(name, "one of ${values.joinToString(transform = label)}", default) { text ->
-            values.firstOrNull { label(it) == text }
-        } ?: values.first()
-
-    /** Numeric address under [name]. */
-    fun address(name: String, default: Address? = null): Address =
-        scalar(name, "an IP number and a port, such as 127.0.0.1:8080", default) { Address.parse(it) }
-            ?: Address("0.0.0.0", 1)
-
-    /** Whether the document has an entry [name]. */
-    fun has(name: String): Boolean = name in entries
-
     /** Reads the mapping under [name]; an absent one is read as empty. */
     fun <T> section(name: String, read: (SettingsReader) -> T): T {
         known += name
@@ -106,15 +68,6 @@
         faults += Fault(at(name), seen, allowed)
     }
 
-    private fun <T : Any> scalar(name: String, allowed: String, default: T?, convert: (String) -> T?): T? {
-        known += name
-        val node = entries[name]
-        val value = (node as? YamlScalar)?.content?.let(convert)
-        if (value != null) return value
-        if (node != null || default == null) fault(name, node?.let(::describe) ?: "nothing", allowed)
-        return default
-    }
-
     private fun <T> child(childPath: String, node: YamlMap?, read: (SettingsReader) -> T): T {
         val reader = SettingsReader(childPath, entriesOf(node), faults)
         return read(reader).also { reader.refuseUnknownNames() }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/table/RowKeys.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/table/RowKeys.kt
@@ -15,9 +15,6 @@
 
     private const val INDEX_WIDTH = 6
 
-    /** Whether every instance keeps a copy of the row under [key]. */
-    fun isShared(key: String): Boolean = SHARED_PREFIXES.any { key.startsWith(it) }
-
     fun member(instance: InstanceName): String = "member/$instance"
 
     fun gate(server: ServerName): String = "gate/$server"
@@ -40,3 +37,6 @@
     /** Key of an audit line: sorts by time, [writeId] keeps lines of the same millisecond apart. */
     fun audit(atMilliseconds: Long, writeId: String): String = "audit/$atMilliseconds-$writeId"
 }
+
+/** Whether every instance keeps a copy of the row under [key]. */
+fun RowKeys.isShared(key: String): Boolean = SHARED_PREFIXES.any { key.startsWith(it) }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/table/RowTable.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/table/RowTable.kt
@@ -4,7 +4,6 @@
  */
 package rhubarbspool.table
 
-import com.google.common.hash.Hashing
 import rhubarbspool.model.InstanceName
 import rhubarbspool.model.ServerName
 import rhubarbspool.model.ServiceName
@@ -26,11 +25,13 @@
     private val memberEntries = sortedMapOf<InstanceName, MemberEntry>()
     private val gateEntries = sortedMapOf<ServerName, GateEntry>()
     private val shardEntries = HashMap<ServerName, HashMap<String, ShardEntry>>()
-    private val buckets = LongArray(BUCKETS)
     private val keysByChange = TreeMap<Long, String>()
     private val changeOfKey = HashMap<String, Long>()
     private val others = HashMap<KClass<out RowBody>, HashMap<String, RowBody>>()
 
+    /** Hash of the rows, for comparing two tables. */
+    val digest: RowDigest = RowDigest()
+
     /** Counts accepted rows; two equal counts of one table mean that nothing changed in between. */
     var changes: Long = 0
         private set
@@ -49,19 +50,8 @@
     /** The row under [key]; null when there never was one. */
     fun row(key: String): VersionedRow? = rows[key]
 
-    /** The body under [key] when it exists and is a [T]. */
-    inline fun <reified T : RowBody> body(key: String): T? = row(key)?.body as? T
-
-    /** All live configuration rows. */
-    fun configurations(): List<ConfigurationBody> =
-        others[ConfigurationBody::class]?.values?.map { it as ConfigurationBody } ?: emptyList()
-
-    /** All live drain orders. */
-    fun drains(): List<DrainBody> = others[DrainBody::class]?.values?.map { it as DrainBody } ?: emptyList()
-
-    /** All live quarantine rows. */
-    fun quarantines(): List<QuarantineBody> =
-        others[QuarantineBody::class]?.values?.map { it as QuarantineBody } ?: emptyList()
+    /** All live bodies of [type], other than members, gates and shards. */
+    fun bodies(type: KClass<out RowBody>): Collection<RowBody> = others[type]?.values ?: emptyList()
 
     /** Rows accepted after the change numbered [change], oldest first. */
     fun changedSince(change: Long): List<VersionedRow> =
@@ -82,8 +72,8 @@
         val old = rows[row.key]
         if (old != null && old.version >= row.version) return false
         rows[row.key] = row
-        old?.let { toggle(it) }
-        toggle(row)
+        old?.let(digest::toggle)
+        digest.toggle(row)
         unindex(old)
         index(row)
         changes++
@@ -92,18 +82,6 @@
         return true
     }
 
-    /** Hash of each bucket of rows: equal for equal sets of rows, independent of order. */
-    fun digest(): List<Long> = buckets.toList()
-
-    /** Keys and versions of the rows in [bucket]. */
-    fun versionsIn(bucket: Int): List<Condition> =
-        rows.values.filter { bucketOf(it.key) == bucket }.map { Condition(it.key, it.version) }
-
-    private fun toggle(row: VersionedRow) {
-        val hash = Hashing.murmur3_128().newHasher().putUnencodedChars(row.key).putLong(row.version).hash()
-        buckets[bucketOf(row.key)] = buckets[bucketOf(row.key)] xor hash.asLong()
-    }
-
     private fun index(row: VersionedRow) {
         when (val body = row.body) {
             is MemberBody -> memberEntries[body.instance] = MemberEntry(row.version, body)
@@ -124,12 +102,25 @@
             else -> others[body::class]?.remove(row.key)
         }
     }
+}
 
-    companion object {
-        /** Number of buckets of the digest. */
-        const val BUCKETS: Int = 32
+/** The body under [key] when it exists and is a [T]. */
+inline fun <reified T : RowBody> RowTable.body(key: String): T? = row(key)?.body as? T
 
-        /** Bucket that the row under [key] belongs to. */
-        fun bucketOf(key: String): Int = Math.floorMod(key.hashCode(), BUCKETS)
-    }
-}
+/** Whether there is a row under [key] that was not deleted. */
+fun RowTable.exists(key: String): Boolean = row(key)?.body != null
+
+/** All live configuration rows. */
+fun RowTable.configurations(): List<ConfigurationBody> = bodies(
+    ConfigurationBody::class
+).map { it as ConfigurationBody }
+
+/** All live drain orders. */
+fun RowTable.drains(): List<DrainBody> = bodies(DrainBody::class).map { it as DrainBody }
+
+/** All live quarantine rows. */
+fun RowTable.quarantines(): List<QuarantineBody> = bodies(QuarantineBody::class).map { it as QuarantineBody }
+
+/** Keys and versions of the rows in [bucket] of the digest. */
+fun RowTable.versionsIn(bucket: Int): List<Condition> =
+    allRows().filter { RowDigest.bucketOf(it.key) == bucket }.map { Condition(it.key, it.version) }
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/control/ControlWorld.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/control/ControlWorld.kt
@@ -6,7 +6,7 @@
 package rhubarbspool.control
 
 import rhubarbspool.configuration.BackendServer
-import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.configuration.ConfigurationWriter
 import rhubarbspool.configuration.Limits
 import rhubarbspool.configuration.Route
 import rhubarbspool.configuration.ServiceConfiguration
@@ -26,6 +26,7 @@
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.Transaction
 import rhubarbspool.table.Write
+import rhubarbspool.table.versionsIn
 import java.util.PriorityQueue
 import kotlin.random.Random
 
@@ -189,8 +190,8 @@
             val news = news()
             schedule(time + random.nextLong(0, 20)) {
                 instance.deliver(node) { target ->
-                    target.onRouterNews(news, instance.now())
-                    val answer = target.orders(instance.now())
+                    target.router.report(news, instance.now())
+                    val answer = target.router.orders(instance.now())
                     val revision = target.state.completeRevision
                     val shards = answer.gates.flatMap { target.state.rows.shardsOf(it.server) }
                         .associate { it.key to it.version }
@@ -283,8 +284,12 @@
             is ControlEffect.Scan -> scan(from, node, effect)
             is ControlEffect.Push -> toPeer(from, effect.peer) { peer, _ -> peer.onRows(effect.rows) }
             is ControlEffect.Exchange -> toPeer(from, effect.peer) { peer, instance ->
-                val differing = peer.state.rows.digest().indices.filter { peer.state.rows.digest()[it] != effect.digest[it] }
-                val rows = differing.flatMap { peer.state.rows.versionsIn(it) }.mapNotNull { peer.state.rows.row(it.key) }
+                val differing = peer.state.rows.digest.values.indices.filter { peer.state.rows.digest.values[it] != effect.digest[it] }
+                val rows = differing.flatMap {
+                    peer.state.rows.versionsIn(
+                        it
+                    )
+                }.mapNotNull { peer.state.rows.row(it.key) }
                 reply(instance, from, node) { it.onRows(rows) }
             }
 
@@ -351,7 +356,10 @@
         val other = instances[fault.other % INSTANCES]
         val until = time + fault.lasts
         when (fault.kind) {
-            FaultKind.CUT_PEERS -> listOf(instance to other, other to instance).forEach { cut(it.first, it.second, until) }
+            FaultKind.CUT_PEERS -> listOf(
+                instance to other,
+                other to instance
+            ).forEach { cut(it.first, it.second, until) }
             FaultKind.CUT_ONE_WAY -> cut(instance, other, until)
             FaultKind.CUT_DOMAIN -> cutDomain(instance, until, withTable = fault.other % 2 == 0)
             FaultKind.CUT_TABLE -> cutFromTable[instance.number] = until
@@ -426,7 +434,7 @@
     private fun configure(service: ServiceConfiguration) {
         val key = RowKeys.configuration(service.service)
         val number = (acknowledged[service.service] ?: 0) + 1
-        val text = ConfigurationDocument.write(service.copy(repeatWindowMilliseconds = 60_000 + number))
+        val text = ConfigurationWriter.write(service.copy(repeatWindowMilliseconds = 60_000 + number))
         val hash = "${service.service}-$number"
         objects[hash] = text
         val body = ConfigurationBody(service.service, number, hash, "operator")
@@ -499,7 +507,11 @@
             shards = 8,
             routes = listOf(Route("read", "GET", "/{key}", deadlineMilliseconds = 200)),
             servers = List(servers) {
-                BackendServer(ServerName("$name-$it"), Address("127.0.0.1", 100 + it), FailureDomainName("domain-${it % DOMAINS}"))
+                BackendServer(
+                    ServerName("$name-$it"),
+                    Address("127.0.0.1", 100 + it),
+                    FailureDomainName("domain-${it % DOMAINS}")
+                )
             },
             moveAfterMilliseconds = moveAfter,
             limits = Limits(maximumExecutionMilliseconds = EXECUTION_MILLISECONDS),
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/control/FakeTable.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/control/FakeTable.kt
@@ -7,6 +7,7 @@
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.Transaction
 import rhubarbspool.table.VersionedRow
+import rhubarbspool.table.isShared
 
 /** Rows in memory. */
 internal class FakeTable {
--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/DaemonSettings.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/DaemonSettings.kt
@@ -11,6 +11,10 @@
 import rhubarbspool.model.InstanceName
 import rhubarbspool.settings.Fault
 import rhubarbspool.settings.SettingsReader
+import rhubarbspool.settings.address
+import rhubarbspool.settings.duration
+import rhubarbspool.settings.number
+import rhubarbspool.settings.text
 
 /** Addresses of the platform's services. */
 data class PlatformSettings(val table: Address, val objects: Address, val instances: Address)
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerConnection.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerConnection.kt
@@ -24,7 +24,10 @@
 import rhubarbspool.errors.RequestError
 
 /** Handles one connection; answers at once with an error when the instance is [full]. */
-internal class CallerConnection(private val entry: CallerEntry, private val full: Boolean) : ChannelInboundHandlerAdapter() {
+internal class CallerConnection(
+    private val entry: CallerEntry,
+    private val full: Boolean
+) : ChannelInboundHandlerAdapter() {
     private var reading: ReceivedRequest? = null
     private lateinit var turns: CallerTurns
 
@@ -82,7 +85,11 @@
         if (error != null && bodyFollows) return turns.last(error)
         reading = ReceivedRequest(HttpUtil.isKeepAlive(request), accepted)
         if (error == null && HttpUtil.is100ContinueExpected(request)) {
-            val proceed = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
+            val proceed = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.CONTINUE,
+                Unpooled.EMPTY_BUFFER
+            )
             context.writeAndFlush(proceed)
         }
     }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/DrainWatch.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/DrainWatch.kt
@@ -9,6 +9,7 @@
 import rhubarbspool.table.DrainKind
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.RowTable
+import rhubarbspool.table.body
 
 /** Remembers when drain orders were first seen in [rows]. */
 internal class DrainWatch(private val rows: RowTable) {
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ErrorResponse.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ErrorResponse.kt
@@ -50,7 +50,10 @@
         headers.set(AnswerHeaders.ERROR, kind.name.lowercase())
         if (kind.retryable) {
             val milliseconds = maxOf(1, error.retryAfterMilliseconds ?: MILLISECONDS_PER_SECOND)
-            headers.set(HttpHeaderNames.RETRY_AFTER, (milliseconds + MILLISECONDS_PER_SECOND - 1) / MILLISECONDS_PER_SECOND)
+            headers.set(
+                HttpHeaderNames.RETRY_AFTER,
+                (milliseconds + MILLISECONDS_PER_SECOND - 1) / MILLISECONDS_PER_SECOND
+            )
             headers.set(AnswerHeaders.RETRY_AFTER, milliseconds)
         }
         HttpUtil.setKeepAlive(response, keepAlive)
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateHost.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateHost.kt
@@ -12,6 +12,7 @@
 import rhubarbspool.errors.RequestError
 import rhubarbspool.gate.CallEnd
 import rhubarbspool.gate.GateEffect
+import rhubarbspool.gate.GateEvent
 import rhubarbspool.gate.GateRequest
 import rhubarbspool.gate.ServerGate
 
@@ -47,7 +48,7 @@
     /** Takes over a new configuration. */
     fun reconfigure(next: ServiceConfiguration) {
         configuration = next
-        gate.reconfigure(next)
+        tell(GateEvent.Reconfigured(next))
     }
 
     /** Takes in a request; its answer goes to [sink]. */
@@ -55,7 +56,7 @@
         val now = ProcessClock.monotonic()
         val refusal = admission.refusal(configuration, incoming, now)
         val shard = admission.owned(configuration, incoming.key)?.shardKey
-        if (refusal == null && shard != null) return offer(incoming, sink, gateRequest(incoming, shard, share = true), now)
+        if (refusal == null && shard != null) return offer(incoming, sink, gateRequest(incoming, shard, share = true))
         sink.refuse(refusal ?: RequestError(ErrorKind.GATE_MOVED))
         return Ticket { }
     }
@@ -65,14 +66,15 @@
         if (leaseState.follow(current, now)) leaseState.inheritedUntil(configuration, now)?.let(work::inherit)
         if (current != null) watch.tick(now)
         if (leaseState.isOpen(configuration, work.isRunning, now)) {
-            gate.open(leaseState.suspectUntil(now, System.currentTimeMillis()), context.view.unrecordedAllowed)
+            val suspectUntil = leaseState.suspectUntil(now, System.currentTimeMillis())
+            tell(GateEvent.Opened(suspectUntil, context.view.unrecordedAllowed))
         } else {
-            run(gate.close())
+            tell(GateEvent.Closed)
         }
         work.tick(configuration, now)
-        run(gate.tick(now))
+        tell(GateEvent.Tick)
         admission.releaseSubjects(configuration)
-            .forEach { run(gate.releaseShards(admission.belongsTo(configuration, it))) }
+            .forEach { tell(GateEvent.ShardReleased(admission.belongsTo(configuration, it))) }
         hotKeys.roll(now)
         context.metrics.gate(server.name.text, gate.waiting, gate.allowed)
     }
@@ -103,28 +105,28 @@
         )
     }
 
-    private fun offer(incoming: IncomingRequest, sink: AnswerSink, request: GateRequest, now: Long): Ticket {
+    private fun offer(incoming: IncomingRequest, sink: AnswerSink, request: GateRequest): Ticket {
         members.add(GateMember(request, incoming, sink))
-        run(gate.offer(request, now))
+        tell(GateEvent.Offered(request))
         return Ticket {
             members.remove(request.id)
-            run(gate.leave(request.id))
+            tell(GateEvent.CallerLeft(request.id))
         }
     }
 
     /** Gives [member], which can't share an answer, a call of its own. */
     private fun runAlone(member: GateMember) {
         members.remove(member.request.id)
-        run(gate.leave(member.request.id))
+        tell(GateEvent.CallerLeft(member.request.id))
         if (member.request.onceId != null) {
             member.sink.refuse(RequestError(ErrorKind.OUTCOME_UNKNOWN, "the answer is too large to be shared"))
         } else {
             val request = gateRequest(member.incoming, member.request.shard, share = false)
-            offer(member.incoming, member.sink, request, ProcessClock.monotonic())
+            offer(member.incoming, member.sink, request)
         }
     }
 
-    private fun run(effects: List<GateEffect>) = effects.forEach(::run)
+    private fun tell(event: GateEvent) = gate.handle(event, ProcessClock.monotonic()).forEach(::run)
 
     private fun run(effect: GateEffect) {
         when (effect) {
@@ -133,7 +135,7 @@
             is GateEffect.Refuse -> members.remove(effect.request)?.sink?.refuse(effect.error)
             is GateEffect.Replay -> members.remove(effect.request)?.sink?.replay(effect.answer, server.name.text)
             is GateEffect.RecordIntent -> records.intent(configuration, effect.request, leaseState.epoch) {
-                run(gate.intentResolved(effect.request.id, it, ProcessClock.monotonic()))
+                tell(GateEvent.IntentResolved(effect.request.id, it))
             }
 
             is GateEffect.RecordOutcome -> records.outcome(configuration, effect, leaseState.epoch)
@@ -170,17 +172,17 @@
             val mayLinger = wire == WireEnd.GIVEN_UP
             if (mayLinger) work.linger(run, configuration, now)
             if (wire == WireEnd.CLOSED_BY_SERVER) watch.probe(now)
-            run(gate.finished(call, end, now, slotFree = !mayLinger))
+            tell(GateEvent.CallEnded(call, end, slotFree = !mayLinger))
         }
 
         override fun lost() {
             leaseState.serverLost()
             work.serverLost()
-            run(gate.serverCrashed(ProcessClock.monotonic()))
+            tell(GateEvent.ServerCrashed)
         }
 
         override fun saysCold() {
-            if (!gate.cold) gate.serverCold()
+            if (!gate.cold) tell(GateEvent.ServerCold)
         }
 
         override fun sendable(request: GateRequest, now: Long): Sendable? {
@@ -192,7 +194,7 @@
         }
 
         override fun settled(request: GateRequest?) {
-            if (request != null) run(gate.slotFreed(ProcessClock.monotonic()))
+            if (request != null) tell(GateEvent.SlotFreed)
         }
     }
 }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateTable.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateTable.kt
@@ -11,6 +11,7 @@
 import rhubarbspool.protocol.RouterReport
 import rhubarbspool.protocol.ServerReport
 import rhubarbspool.table.QuarantineBody
+import rhubarbspool.table.quarantines
 
 /** All gates of one router. */
 internal class GateTable(private val context: RouterContext) {
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterView.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterView.kt
@@ -4,7 +4,7 @@
  */
 package rhubarbspool.router
 
-import rhubarbspool.configuration.ConfigurationDocument
+import rhubarbspool.configuration.ConfigurationReader
 import rhubarbspool.configuration.ServiceConfiguration
 import rhubarbspool.edge.toVersionedRow
 import rhubarbspool.model.ServerName
@@ -72,7 +72,7 @@
         val next = configurations.toMutableMap()
         orders.configurationsList.forEach { message ->
             val known = next[ServiceName(message.service)]?.number ?: 0
-            ConfigurationDocument.read(message.body.toStringUtf8()).getOrNull()
+            ConfigurationReader.read(message.body.toStringUtf8()).getOrNull()
                 ?.takeIf { message.version > known }
                 ?.let { next[it.service] = NumberedConfiguration(message.version, it) }
         }
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/PlatformStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/PlatformStandIn.kt
@@ -47,7 +47,8 @@
         val answer = answer(call)
         val later = CompletableFuture<HttpAnswer>()
         val lost = call.path == TRANSACTIONS && random.nextDouble() < inForce.loseRepliesFraction
-        val finish = Runnable { if (lost) later.completeExceptionally(IOException("reply lost")) else later.complete(answer) }
+        val finish =
+            Runnable { if (lost) later.completeExceptionally(IOException("reply lost")) else later.complete(answer) }
         if (inForce.delayMilliseconds == 0L) {
             finish.run()
         } else {
