--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ExplainCommand.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/ExplainCommand.kt
@@ -12,6 +12,7 @@
 import rhubarbspool.configuration.ServiceConfiguration
 import rhubarbspool.model.ServiceName
 import rhubarbspool.routing.KeyLocator
+import rhubarbspool.table.AuditBody
 import rhubarbspool.table.ConfigurationBody
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.body
@@ -73,10 +74,13 @@
             if ("/key/" in shard) "the key is hot and has a shard of its own" else range,
             "the shard's row names $server",
             "${holder ?: "nobody"} holds the gate of $server",
-            trail.firstOrNull()?.audit?.let { "last change: ${it.action} from ${it.before} to ${it.after} (${it.cause})" },
+            trail.firstOrNull()?.audit?.let(::lastChange),
         )
     }
 
+    private fun lastChange(audit: AuditBody): String =
+        "last change: ${audit.action} from ${audit.before} to ${audit.after} (${audit.cause})"
+
     private fun print(explanation: Explanation) {
         echo("key     ${explanation.key} of ${explanation.service}")
         echo("shard   ${explanation.shard} epoch ${explanation.shardEpoch}")
--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/OperatorClient.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/OperatorClient.kt
@@ -3,6 +3,7 @@
  */
 package rhubarbspool.command
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.grpc.StatusRuntimeException
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -37,6 +38,8 @@
 import java.util.concurrent.ExecutionException
 import java.util.concurrent.TimeUnit
 
+private val logger = KotlinLogging.logger {}
+
 /** The platform did not answer. */
 internal class PlatformSilent(cause: Throwable?) : RuntimeException("the platform does not answer", cause)
 
@@ -133,14 +136,15 @@
     private fun <T> ask(member: MemberBody, call: PeerGrpc.PeerBlockingStub.() -> T): T? = try {
         PeerGrpc.newBlockingStub(channels.channel(member.controller))
             .withDeadlineAfter(STATUS_MILLISECONDS, TimeUnit.MILLISECONDS).call()
-    } catch (_: StatusRuntimeException) {
+    } catch (exception: StatusRuntimeException) {
+        logger.debug(exception) { "${member.instance} does not answer" }
         null
     }
 
     private fun <T> await(future: CompletableFuture<T>): T = try {
         future.get()
     } catch (exception: ExecutionException) {
-        throw PlatformSilent(exception.cause)
+        throw PlatformSilent(exception)
     }
 
     private companion object {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/Questionnaire.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/configuration/Questionnaire.kt
@@ -40,7 +40,8 @@
     private const val BOOKING_MILLISECONDS = 4_000L
     private const val DOWNLOAD_MILLISECONDS = 5_000L
     private const val DAY_MILLISECONDS = 86_400_000L
-    private const val SERVER_SHAPE = "a name, an address and a failure domain, such as board-01 127.0.0.1:9101 gandaki-a"
+    private const val SERVER_SHAPE =
+        "a name, an address and a failure domain, such as board-01 127.0.0.1:9101 gandaki-a"
     private val TIMES = MINIMUM_MILLISECONDS..MAXIMUM_MILLISECONDS
 
     /** The questions in the order in which they are asked. */
@@ -159,10 +160,7 @@
         if (reader.text("whenCutOff", "hold") == "hold") {
             null
         } else {
-            reader.duration(
-                "whenCutOff",
-                2_000L..DAY_MILLISECONDS
-            )
+            reader.duration("whenCutOff", MINIMUM_MOVE_MILLISECONDS..DAY_MILLISECONDS)
         }
 
     private fun routes(reader: SettingsReader): List<Route> = listOfNotNull(
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/HotKeySystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/HotKeySystem.kt
@@ -32,7 +32,8 @@
         val isUnderWay = rowKey in state.moves || rangeKey in state.moves || state.rows.exists(rowKey)
         val target = (state.eligibleServers(configuration) - hot.server)
             .minByOrNull { state.rows.shardsOf(it).size }
-        if (owner != hot.server || !isOwn || isUnderWay || target == null) return
+        val mayMove = owner == hot.server && isOwn && !isUnderWay
+        if (!mayMove || target == null) return
         val body = ShardBody(configuration.service, index, target, hotKey = hot.key)
         val version = state.rows.version(rangeKey)
         state.moves[rowKey] = ShardMove(++state.lastOrder, version, hot.server, target, split = body)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/RouterDesk.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/RouterDesk.kt
@@ -15,7 +15,7 @@
     fun report(news: RouterNews, now: Now) {
         news.releasedGates.forEach(::gateReleased)
         news.releasedShards.forEach(::shardReleased)
-        news.reachable.forEach { (server, reachable) -> noteReachable(server, reachable, now) }
+        news.reachable.forEach { (server, reachable) -> state.noteReachable(server, reachable, now) }
         news.crashes.filterNot { it in state.crashes }.forEach(state.crashes::add)
         news.hotKeys.forEach { noteHotKey(it, now) }
         state.unrecordedRuns = news.unrecordedRuns
@@ -83,15 +83,6 @@
         }
     }
 
-    private fun noteReachable(server: ServerName, reachable: Boolean, now: Now) {
-        state.reachable[server] = reachable
-        if (reachable) {
-            state.unreachableSince.remove(server)
-        } else {
-            state.unreachableSince.putIfAbsent(server, now.monotonic)
-        }
-    }
-
     private fun noteHotKey(hot: HotKey, now: Now) {
         val configuration = state.configurations[hot.service]?.configuration ?: return
         val index = ShardMap.indexOf(hot.key, configuration.shards)
@@ -99,3 +90,8 @@
         HotKeySystem.split(state, configuration, hot, index)
     }
 }
+
+private fun ControlState.noteReachable(server: ServerName, isReachable: Boolean, now: Now) {
+    reachable[server] = isReachable
+    if (isReachable) unreachableSince.remove(server) else unreachableSince.putIfAbsent(server, now.monotonic)
+}
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/SuccessorSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/SuccessorSystem.kt
@@ -25,10 +25,11 @@
     }
 
     private fun write(state: ControlState, now: Now): List<ControlEffect> {
-        val row = state.self?.member?.takeIf { it.generation == state.generation }
-        if (row == null || now.monotonic - wroteAt < state.times.renewal) return emptyList()
-        val wanted = withSuccessors(state, row, now)
-        if (wanted == row && !needsConfirmation(state, now)) return emptyList()
+        val due = now.monotonic - wroteAt >= state.times.renewal
+        val row = state.self?.member?.takeIf { due && it.generation == state.generation }
+        val wanted = row?.let { withSuccessors(state, it, now) }
+            ?.takeIf { it != row || needsConfirmation(state, now) }
+            ?: return emptyList()
         wroteAt = now.monotonic
         return MemberWrite.submit(state, wanted, now)
     }
@@ -57,7 +58,9 @@
         val lease = if (scope == LeaseScope.LOCAL) state.local else state.remote
         val interval = if (scope == LeaseScope.LOCAL) state.times.renewal else remoteInterval(state)
         askedAt.keys.removeAll { it.first == scope && it.second !in lease.named }
-        val due = lease.named.filter { now.monotonic - (askedAt[scope to it] ?: (now.monotonic - interval)) >= interval }
+        val due = lease.named.filter { successor ->
+            askedAt[scope to successor]?.let { now.monotonic - it >= interval } ?: true
+        }
         return due.map { successor ->
             askedAt[scope to successor] = now.monotonic
             ControlEffect.AskPromise(successor, scope, state.generation, state.unrecordedRuns, now.monotonic)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateState.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateState.kt
@@ -43,12 +43,6 @@
     var suspectUntil = Long.MIN_VALUE
     var unrecordedAllowed = false
 
-    /** Takes over a new configuration of the service. */
-    fun reconfigure(next: ServiceConfiguration) {
-        configuration = next
-        slots.resize(next.limits.slots, coldStart())
-    }
-
     /** The call that the request [id] waits for. */
     fun callOf(id: Long): GateCall? = callOf[id]?.let { calls[it] }
 
@@ -98,6 +92,32 @@
         }
     }
 
-    private fun coldStart() =
-        configuration.coldStart.let { if (policy.slowStart) it else it.copy(slots = configuration.limits.slots) }
+    private fun coldStart() = configuration.coldStartUnder(policy)
+}
+
+private fun ServiceConfiguration.coldStartUnder(policy: GatePolicy) =
+    if (policy.slowStart) coldStart else coldStart.copy(slots = limits.slots)
+
+/** Takes over a new configuration of the service. */
+internal fun GateState.reconfigure(next: ServiceConfiguration): List<GateEffect> = quietly {
+    configuration = next
+    slots.resize(next.limits.slots, next.coldStartUnder(policy))
+}
+
+/** The server starts over with the slots of a cold one. */
+internal fun GateState.becameCold(): List<GateEffect> = quietly { slots.becameCold() }
+
+/** The server has ended work that was given up. */
+internal fun GateState.slotFreed(): List<GateEffect> = quietly { inFlight-- }
+
+/** The gate may send. */
+internal fun GateState.opened(event: GateEvent.Opened): List<GateEffect> = quietly {
+    open = true
+    suspectUntil = event.suspectUntil
+    unrecordedAllowed = event.unrecordedAllowed
+}
+
+private fun quietly(change: () -> Unit): List<GateEffect> {
+    change()
+    return emptyList()
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/OnceDesk.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/OnceDesk.kt
@@ -17,14 +17,8 @@
     fun offer(request: GateRequest, onceId: String, now: Long): List<GateEffect> {
         val entry = state.once[onceId]
         val reused = entry != null && entry.fingerprint != request.fingerprint
-        return if (reused) {
-            refuse(
-                request,
-                RequestError(ErrorKind.REQUEST_ID_REUSED)
-            )
-        } else {
-            meet(request, onceId, entry, now)
-        }
+        if (reused) return refuse(request, RequestError(ErrorKind.REQUEST_ID_REUSED))
+        return meet(request, onceId, entry, now)
     }
 
     /** Takes in what the table said to the record of the call [id]. */
@@ -34,14 +28,7 @@
         return when (result) {
             is IntentResult.Recorded -> dispatcher.admit(call, now)
             is IntentResult.Duplicate -> duplicate(call, result, now)
-            is IntentResult.Unavailable -> if (state.unrecordedAllowed) {
-                dispatcher.admit(
-                    call,
-                    now
-                )
-            } else {
-                unrecorded(call)
-            }
+            is IntentResult.Unavailable -> unavailable(call, now)
         }
     }
 
@@ -67,7 +54,8 @@
         return if (hasRecord) dispatcher.admit(call, now) else listOf(GateEffect.RecordIntent(request))
     }
 
-    private fun unrecorded(call: GateCall): List<GateEffect> {
+    private fun unavailable(call: GateCall, now: Long): List<GateEffect> {
+        if (state.unrecordedAllowed) return dispatcher.admit(call, now)
         val error = RequestError(ErrorKind.RECORD_UNAVAILABLE, retryAfterMilliseconds = Admission.BACK_SOON)
         val effects = state.end(call, error)
         call.request.onceId?.let(state.once::remove)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/ServerGate.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/ServerGate.kt
@@ -37,14 +37,14 @@
         is GateEvent.IntentResolved -> onceDesk.resolved(event.id, event.result, now)
         is GateEvent.CallerLeft -> callerLeft(event.id)
         is GateEvent.CallEnded -> callEnded(event, now)
-        is GateEvent.SlotFreed -> changed { state.inFlight-- } + dispatcher.dispatch(now)
+        is GateEvent.SlotFreed -> state.slotFreed() + dispatcher.dispatch(now)
         is GateEvent.ServerCrashed -> ends.serverCrashed(now)
-        is GateEvent.ServerCold -> changed { state.slots.becameCold() }
+        is GateEvent.ServerCold -> state.becameCold()
         is GateEvent.Tick -> tick(now)
-        is GateEvent.Opened -> opened(event)
+        is GateEvent.Opened -> state.opened(event)
         is GateEvent.Closed -> closed()
         is GateEvent.ShardReleased -> refuse(state.calls.values.filter { !it.isSent && event.matches(it.request) })
-        is GateEvent.Reconfigured -> changed { state.reconfigure(event.configuration) }
+        is GateEvent.Reconfigured -> state.reconfigure(event.configuration)
     }
 
     /** Whether a call for a request that [matches] waits, is being recorded, or is at the server. */
@@ -86,12 +86,6 @@
         return dispatcher.expire(now) + dispatcher.dispatch(now)
     }
 
-    private fun opened(event: GateEvent.Opened): List<GateEffect> = changed {
-        state.open = true
-        state.suspectUntil = event.suspectUntil
-        state.unrecordedAllowed = event.unrecordedAllowed
-    }
-
     private fun closed(): List<GateEffect> {
         state.open = false
         return refuse(state.queue.requests.map { state.calls.getValue(it.id) })
@@ -99,6 +93,4 @@
 
     private fun refuse(calls: List<GateCall>): List<GateEffect> =
         calls.filterNot { it.recording }.flatMap { state.end(it, admission.moved()) }
-
-    private fun changed(action: () -> Unit): List<GateEffect> = emptyList<GateEffect>().also { action() }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/settings/SettingsReader.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/settings/SettingsReader.kt
@@ -24,7 +24,7 @@
 ) {
     private val known = sortedSetOf<String>()
 
-    /** Value under [name] as [convert] reads it; a fault that names [allowed] when it can't, or there is no [default]. */
+    /** Value under [name] as [convert] reads it, or [default]; a fault that names [allowed] when there is neither. */
     fun <T : Any> value(name: String, allowed: String, default: T?, convert: (String) -> T?): T? {
         known += name
         val node = entries[name]
--- /dev/null
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/control/Oracle.kt
@@ -0,0 +1,51 @@
+/*
+ * Sees everything in true time and knows what must always hold.
+ */
+package rhubarbspool.control
+
+import rhubarbspool.model.ServerName
+
+/** Work that a router sent to a server; it runs until [until] milliseconds of true time. */
+internal data class TestWork(val shard: String, val server: ServerName, val until: Long)
+
+internal class Oracle(private val instances: () -> List<TestInstance>) {
+    private val running = ArrayList<TestWork>()
+    private val drainedSince = HashMap<ServerName, Long>()
+
+    /** Sends judged so far. */
+    var sends = 0L
+        private set
+
+    /** Notes that [servers] were ordered to be drained at [time]. */
+    fun drained(servers: Collection<ServerName>, time: Long) = servers.forEach { drainedSince[it] = time }
+
+    /** Stops judging drains. */
+    fun undrained() = drainedSince.clear()
+
+    /** Judges that [sent] is sent at [time]. */
+    fun judge(sent: TestWork, time: Long) {
+        sends++
+        running.removeAll { it.until <= time }
+        val fault = senders(sent, time) ?: owners(sent) ?: drains(sent, time)
+        if (fault != null) throw Violation("$time: $fault")
+        running += sent
+    }
+
+    private fun senders(sent: TestWork, time: Long): String? {
+        val senders = instances().filter { it.routerPausedUntil <= time && it.router?.mayUse(sent.server) == true }
+        return if (senders.size > 1) "${senders.map { it.identity.instance }} may all send to ${sent.server}" else null
+    }
+
+    private fun owners(sent: TestWork): String? =
+        running.firstOrNull { it.shard == sent.shard && it.server != sent.server }
+            ?.let { "${sent.shard} is served by ${sent.server} while ${it.server} still runs work for it" }
+
+    private fun drains(sent: TestWork, time: Long): String? {
+        val since = drainedSince[sent.server]?.takeIf { time - it > DRAIN_MILLISECONDS } ?: return null
+        return "${sent.server} gets work ${time - since} ms after it was drained"
+    }
+
+    private companion object {
+        const val DRAIN_MILLISECONDS = 3_000L
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/control/TestRouter.kt
@@ -0,0 +1,96 @@
+/*
+ * The router of an instance in the control fuzzer, as far as leases and releases go: it follows its orders, sends
+ * work for every shard that it believes it may serve, and reports what it released.
+ */
+package rhubarbspool.control
+
+import rhubarbspool.model.ServerName
+import rhubarbspool.model.ServiceName
+
+internal class TestRouter(private val instance: TestInstance, private val world: ControlWorld) {
+    /** A shard as the controller's rows show it. */
+    private data class ViewedShard(val key: String, val server: ServerName, val version: Long)
+
+    private val network = world.network
+    private val acquiredAt = HashMap<ServerName, Long>()
+    private val work = ArrayList<TestWork>()
+    private var orders = Orders(emptyList(), emptyList())
+    private var shards = emptyList<ViewedShard>()
+    private var complete = 0L
+    private var askedAt = Long.MIN_VALUE
+
+    /** Reports to the controller and asks for orders. */
+    fun poll() {
+        val node = instance.node ?: return
+        val asked = instance.now().monotonic
+        val news = news()
+        network.schedule(network.time + network.random.nextLong(0, 20)) {
+            instance.deliver(node) { target -> answer(target, news, asked) }
+        }
+    }
+
+    /** Sends a request for each shard that this router believes it may serve. */
+    fun work() = shards.filter { maySend(it) }.forEach { shard ->
+        val until = network.time + network.random.nextLong(1, TestServices.EXECUTION_MILLISECONDS)
+        val sent = TestWork(shard.key, shard.server, until)
+        world.oracle.judge(sent, network.time)
+        work += sent
+    }
+
+    /** Whether this router believes that it may send to [server]. */
+    fun mayUse(server: ServerName): Boolean = orders.gates.any { it.server == server && holds(it) }
+
+    /** Whether this router believes that [server] owns the shard under [key] and that it may send to it. */
+    fun mayServe(server: ServerName, key: String): Boolean =
+        shards.any { it.key == key && it.server == server && maySend(it) }
+
+    private fun answer(target: ControlNode, news: RouterNews, asked: Long) {
+        target.router.report(news, instance.now())
+        val given = target.router.orders(instance.now())
+        val revision = target.state.completeRevision
+        val viewed = given.gates.flatMap { target.state.rows.shardsOf(it.server) }
+            .map { ViewedShard(it.key, it.shard.server, it.version) }
+        network.schedule(network.time + network.random.nextLong(0, 20)) {
+            if (instance.router === this && asked > askedAt) take(given, asked, revision, viewed)
+        }
+    }
+
+    private fun take(given: Orders, asked: Long, revision: Long, viewed: List<ViewedShard>) {
+        given.gates.filter { gate -> orders.gates.none { it.server == gate.server && it.epoch == gate.epoch } }
+            .forEach { acquiredAt[it.server] = network.time }
+        orders = given
+        askedAt = asked
+        complete = revision
+        shards = viewed
+    }
+
+    private fun holds(gate: GateOrder): Boolean =
+        gate.releaseOrder == 0L && instance.now().monotonic < askedAt + gate.remainingMilliseconds
+
+    private fun maySend(shard: ViewedShard): Boolean =
+        mayUse(shard.server) && shard.version <= complete && orders.releases.none { it.subject == shard.key }
+
+    private fun news(): RouterNews {
+        work.removeAll { it.until <= network.time }
+        return RouterNews(
+            orders.gates.filter { gate -> gate.releaseOrder != 0L && work.none { it.server == gate.server } }
+                .map { ReleaseOrder(it.server.text, it.releaseOrder) },
+            orders.releases.filter { isReleased(it) },
+            orders.gates.associate { it.server to world.isUp(it.server) },
+            hotKeys = orders.gates.filter { world.isHot(it.server) }.map { HotKey(HOT_SERVICE, HOT_KEY, it.server) },
+        )
+    }
+
+    /** Nothing sent by this router, nor by an earlier holder of the gate, can still run for the shard. */
+    private fun isReleased(release: ReleaseOrder): Boolean {
+        val inherited = orders.gates.any { gate ->
+            network.time - (acquiredAt[gate.server] ?: 0) <= TestServices.EXECUTION_MILLISECONDS
+        }
+        return !inherited && work.none { it.shard == release.subject }
+    }
+
+    private companion object {
+        const val HOT_KEY = "hot"
+        val HOT_SERVICE = ServiceName("hold")
+    }
+}
--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/Metrics.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/Metrics.kt
@@ -16,22 +16,29 @@
     private val registry = PrometheusRegistry()
     private val writer = PrometheusTextFormatWriter.create()
 
-    /** A counter called [name] with [labels]. */
-    fun counter(name: String, help: String, labels: List<String> = emptyList()): Counter =
-        Counter.builder().name(name).help(help).also { builder ->
-            if (labels.isNotEmpty()) builder.labelNames(*labels.toTypedArray())
-        }.register(registry)
+    /** A counter called [name] without a label. */
+    fun counter(name: String, help: String): Counter = Counter.builder().name(name).help(help).register(registry)
 
-    /** A gauge called [name] with [labels]. */
-    fun gauge(name: String, help: String, labels: List<String> = emptyList()): Gauge =
-        Gauge.builder().name(name).help(help).also { builder ->
-            if (labels.isNotEmpty()) builder.labelNames(*labels.toTypedArray())
-        }.register(registry)
+    /** A counter called [name] by [label]. */
+    fun counter(name: String, help: String, label: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(label).register(registry)
+
+    /** A counter called [name] by two labels. */
+    fun counter(name: String, help: String, first: String, second: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(first, second).register(registry)
+
+    /** A gauge called [name] without a label. */
+    fun gauge(name: String, help: String): Gauge = Gauge.builder().name(name).help(help).register(registry)
+
+    /** A gauge called [name] by [label]. */
+    fun gauge(name: String, help: String, label: String): Gauge =
+        Gauge.builder().name(name).help(help).labelNames(label).register(registry)
 
     /** A histogram of seconds called [name] by [label]. */
     fun histogram(name: String, help: String, label: String): Histogram =
         Histogram.builder().name(name).help(help).labelNames(label)
-            .classicUpperBounds(*SECONDS).classicOnly().register(registry)
+            .classicLinearUpperBounds(FIRST_BOUND_SECONDS, BOUND_WIDTH_SECONDS, BOUNDS).classicOnly()
+            .register(registry)
 
     /** All metrics as text. */
     fun text(): String {
@@ -41,7 +48,9 @@
     }
 
     private companion object {
-        val SECONDS = doubleArrayOf(0.001, 0.002, 0.005, 0.01, 0.017, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+        const val FIRST_BOUND_SECONDS = 0.001
+        const val BOUND_WIDTH_SECONDS = 0.004
+        const val BOUNDS = 26
     }
 }
 
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerConnection.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerConnection.kt
@@ -3,7 +3,6 @@
  */
 package rhubarbspool.router
 
-import arrow.core.Either
 import arrow.core.left
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
@@ -65,21 +64,20 @@
     }
 
     private fun read(context: ChannelHandlerContext, message: HttpObject) {
-        if (message.decoderResult().isFailure) return malformed(message.decoderResult().cause())
-        if (message is HttpRequest) begin(context, message)
-        if (message is HttpContent) content(message)
-    }
-
-    private fun malformed(cause: Throwable) {
-        val tooLarge = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
-        val kind = if (tooLarge) ErrorKind.HEADERS_TOO_LARGE else ErrorKind.MALFORMED_REQUEST
-        reading = null
-        turns.last(RequestError(kind))
+        if (message.decoderResult().isFailure) {
+            val cause = message.decoderResult().cause()
+            val tooLarge = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
+            reading = null
+            turns.last(RequestError(if (tooLarge) ErrorKind.HEADERS_TOO_LARGE else ErrorKind.MALFORMED_REQUEST))
+        } else {
+            if (message is HttpRequest) begin(context, message)
+            if (message is HttpContent) content(message)
+        }
     }
 
     private fun begin(context: ChannelHandlerContext, request: HttpRequest) {
         val peer = context.channel().remoteAddress().toString().substringBeforeLast(':')
-        val accepted = if (full) fullError() else entry.accept(request, peer)
+        val accepted = if (full) FULL.left() else entry.accept(request, peer)
         val error = accepted.leftOrNull()
         val bodyFollows = HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0
         if (error != null && bodyFollows) return turns.last(error)
@@ -94,25 +92,23 @@
         }
     }
 
-    private fun fullError(): Either<RequestError, AcceptedHead> =
-        RequestError(ErrorKind.TOO_MANY_CONNECTIONS, retryAfterMilliseconds = FULL_RETRY_MILLISECONDS).left()
-
     private fun content(content: HttpContent) {
         val current = reading ?: return
         val limit = current.head.getOrNull()?.match?.configuration?.limits?.requestBodyBytes ?: 0
         val bytes = content.content().readableBytes()
-        if (current.body.size() + bytes > limit) {
-            reading = null
-            turns.last(RequestError(ErrorKind.BODY_TOO_LARGE))
-            return
+        val tooLarge = current.body.size() + bytes > limit
+        if (tooLarge || content is LastHttpContent) reading = null
+        when {
+            tooLarge -> turns.last(RequestError(ErrorKind.BODY_TOO_LARGE))
+            else -> {
+                content.content().readBytes(current.body, bytes)
+                if (content is LastHttpContent) turns.add(current)
+            }
         }
-        content.content().readBytes(current.body, bytes)
-        if (content !is LastHttpContent) return
-        reading = null
-        turns.add(current)
     }
 
     private companion object {
         const val FULL_RETRY_MILLISECONDS = 1_000L
+        val FULL = RequestError(ErrorKind.TOO_MANY_CONNECTIONS, retryAfterMilliseconds = FULL_RETRY_MILLISECONDS)
     }
 }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateHost.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateHost.kt
@@ -5,7 +5,6 @@
 package rhubarbspool.router
 
 import rhubarbspool.configuration.BackendServer
-import rhubarbspool.configuration.RunKind
 import rhubarbspool.configuration.ServiceConfiguration
 import rhubarbspool.edge.ProcessClock
 import rhubarbspool.errors.ErrorKind
@@ -31,7 +30,6 @@
     private val records = GateRecords(context)
     private val hotKeys = HotKeyCounter()
     private val members = GateMembers()
-    private val crashes = LinkedHashSet<String>()
 
     /** Whether nothing is left here, so that the host may be dropped. */
     val isIdle: Boolean get() = members.isEmpty && work.isEmpty
@@ -42,8 +40,8 @@
     /** Keys that take a large share of the server. */
     val hot: Set<String> get() = hotKeys.hot
 
-    /** Fingerprints that were in flight at crashes since the last call. */
-    fun takeCrashes(): List<String> = crashes.toList().also { crashes.clear() }
+    /** Fingerprints that were in flight at crashes since they were last taken. */
+    val crashes: MutableSet<String> = LinkedHashSet()
 
     /** Takes over a new configuration. */
     fun reconfigure(next: ServiceConfiguration) {
@@ -56,7 +54,9 @@
         val now = ProcessClock.monotonic()
         val refusal = admission.refusal(configuration, incoming, now)
         val shard = admission.owned(configuration, incoming.key)?.shardKey
-        if (refusal == null && shard != null) return offer(incoming, sink, gateRequest(incoming, shard, share = true))
+        if (refusal == null && shard != null) {
+            return offer(incoming, sink, incoming.toGateRequest(context.nextId(), shard, share = true))
+        }
         sink.refuse(refusal ?: RequestError(ErrorKind.GATE_MOVED))
         return Ticket { }
     }
@@ -89,22 +89,6 @@
         return !gate.isBusyWith(matches) && work.isSettled(matches)
     }
 
-    private fun gateRequest(incoming: IncomingRequest, shard: String, share: Boolean): GateRequest {
-        val fingerprint = incoming.fingerprint()
-        return GateRequest(
-            id = context.nextId(),
-            key = incoming.key,
-            shard = shard,
-            caller = incoming.caller,
-            kind = incoming.route.kind,
-            priority = incoming.route.priority,
-            fingerprint = fingerprint,
-            deadlineAt = incoming.deadlineAt,
-            coalesceKey = fingerprint.takeIf { share && incoming.route.coalesce },
-            onceId = incoming.requestId.takeIf { incoming.route.kind == RunKind.ONCE },
-        )
-    }
-
     private fun offer(incoming: IncomingRequest, sink: AnswerSink, request: GateRequest): Ticket {
         members.add(GateMember(request, incoming, sink))
         tell(GateEvent.Offered(request))
@@ -121,7 +105,7 @@
         if (member.request.onceId != null) {
             member.sink.refuse(RequestError(ErrorKind.OUTCOME_UNKNOWN, "the answer is too large to be shared"))
         } else {
-            val request = gateRequest(member.incoming, member.request.shard, share = false)
+            val request = member.incoming.toGateRequest(context.nextId(), member.request.shard, share = false)
             offer(member.incoming, member.sink, request)
         }
     }
@@ -130,7 +114,13 @@
 
     private fun run(effect: GateEffect) {
         when (effect) {
-            is GateEffect.Dispatch -> dispatch(effect.request)
+            is GateEffect.Dispatch -> {
+                val now = ProcessClock.monotonic()
+                hotKeys.ran(effect.request.key, now)
+                val keepBytes = configuration.limits.coalescedAnswerBytes
+                work.start(ServerRun(effect.request, now, server.name.text, keepBytes, events), configuration)
+            }
+
             is GateEffect.Attach -> attach(effect)
             is GateEffect.Refuse -> members.remove(effect.request)?.sink?.refuse(effect.error)
             is GateEffect.Replay -> members.remove(effect.request)?.sink?.replay(effect.answer, server.name.text)
@@ -144,13 +134,6 @@
         }
     }
 
-    private fun dispatch(request: GateRequest) {
-        val now = ProcessClock.monotonic()
-        hotKeys.ran(request.key, now)
-        val run = ServerRun(request, now, server.name.text, configuration.limits.coalescedAnswerBytes, events)
-        work.start(run, configuration)
-    }
-
     private fun attach(effect: GateEffect.Attach) {
         val member = members[effect.request] ?: return
         members.attach(member, effect.call)
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateTable.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateTable.kt
@@ -53,9 +53,8 @@
     private fun reportServer(report: RouterReport.Builder, server: ServerName, host: GateHost) {
         val service = configurationOf(server)?.service?.text ?: return
         host.available?.let { report.addServers(ServerReport.newBuilder().setServer(server.text).setReachable(it)) }
-        host.takeCrashes().forEach {
-            report.addCrashes(CrashReport.newBuilder().setService(service).setFingerprint(it))
-        }
+        host.crashes.forEach { report.addCrashes(CrashReport.newBuilder().setService(service).setFingerprint(it)) }
+        host.crashes.clear()
         host.hot.forEach {
             report.addHotKeys(HotKeyReport.newBuilder().setService(service).setKey(it).setServer(server.text))
         }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateWork.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateWork.kt
@@ -52,7 +52,10 @@
     /** Sends [run] over a connection to the server. */
     fun start(run: ServerRun, configuration: ServiceConfiguration) {
         runs[run.request.id] = run
-        pool(configuration).acquire { acquired ->
+        val maximum = configuration.limits.connections
+        val pool = connections
+            ?: ServerConnections(context.loop, server.address, maximum).also { connections = it }
+        pool.acquire { acquired ->
             acquired.fold({ send(run, it, configuration) }, {
                 watch.probe(ProcessClock.monotonic())
                 run.end(WireEnd.NOT_SENT)
@@ -93,9 +96,6 @@
         lingering.toList().forEach(::settle)
     }
 
-    private fun pool(configuration: ServiceConfiguration): ServerConnections = connections
-        ?: ServerConnections(context.loop, server.address, configuration.limits.connections).also { connections = it }
-
     private fun settle(entry: Lingering) {
         if (lingering.remove(entry)) check.settled(entry.request)
     }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterMetrics.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterMetrics.kt
@@ -8,22 +8,22 @@
 
 /** Counters and histograms of one router. */
 internal class RouterMetrics(metrics: Metrics) {
-    private val answers = metrics.counter("rhubarbspool_answers", "Answers to callers", listOf("service", "status"))
+    private val answers = metrics.counter("rhubarbspool_answers", "Answers to callers", "service", "status")
     private val errors = metrics.counter(
         "rhubarbspool_errors",
         "Answers that the system made up itself",
-        listOf("kind")
+        "kind"
     )
     private val seconds = metrics.histogram("rhubarbspool_request_seconds", "Time from request to answer", "service")
-    private val runs = metrics.counter("rhubarbspool_server_runs", "Calls sent to backend servers", listOf("service"))
+    private val runs = metrics.counter("rhubarbspool_server_runs", "Calls sent to backend servers", "service")
     private val shared = metrics.counter(
         "rhubarbspool_shared_answers",
         "Requests that shared another's call",
-        listOf("service")
+        "service"
     )
     private val forwards = metrics.counter("rhubarbspool_forwards", "Requests sent on to another instance")
-    private val waiting = metrics.gauge("rhubarbspool_waiting", "Requests that wait at a gate", listOf("server"))
-    private val allowed = metrics.gauge("rhubarbspool_slots_allowed", "Slots that a gate uses", listOf("server"))
+    private val waiting = metrics.gauge("rhubarbspool_waiting", "Requests that wait at a gate", "server")
+    private val allowed = metrics.gauge("rhubarbspool_slots_allowed", "Slots that a gate uses", "server")
 
     /** An answer went to a caller. */
     fun answered(service: String, status: Int, milliseconds: Long) {
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/PlatformStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/PlatformStandIn.kt
@@ -104,10 +104,6 @@
         return objects[name]?.let { ok(it) } ?: HttpAnswer(NOT_FOUND, emptyMap(), "")
     }
 
-    private fun parameters(path: String): Map<String, String> =
-        path.substringAfter('?', "").split('&').filter { '=' in it }
-            .associate { it.substringBefore('=') to it.substringAfter('=') }
-
     private fun ok(body: String) = HttpAnswer(OK, mapOf("content-type" to "application/json"), body)
 
     private companion object {
@@ -119,3 +115,8 @@
         const val OBJECTS = "/objects/"
     }
 }
+
+/** Parameters in the query of [path]. */
+private fun parameters(path: String): Map<String, String> =
+    path.substringAfter('?', "").split('&').filter { '=' in it }
+        .associate { it.substringBefore('=') to it.substringAfter('=') }
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/StandInRuns.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/StandInRuns.kt
@@ -69,7 +69,8 @@
         val headers = request.headers()
         val remaining = headers["rhubarbspool-remaining-milliseconds"]?.toLongOrNull() ?: Int.MAX_VALUE.toLong()
         val deadlineAt = ProcessClock.monotonic() + remaining
-        waiting += Run(context, headers["rhubarbspool-call"], headers["idempotency-key"], request.uri(), body, deadlineAt)
+        val requestId = headers["idempotency-key"]
+        waiting += Run(context, headers["rhubarbspool-call"], requestId, request.uri(), body, deadlineAt)
         startNext()
     }
 
