--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/errors/ErrorKind.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/errors/ErrorKind.kt
@@ -114,10 +114,16 @@
         true,
         "The server refused the request before running it."
     ),
+    ATTEMPT_UNCLEAR(
+        HttpStatus.UNAVAILABLE,
+        Outcome.UNKNOWN,
+        true,
+        "This attempt was not run; an earlier one under the same Idempotency-Key may have been.",
+    ),
     OUTCOME_UNKNOWN(
         HttpStatus.GATEWAY_TIMEOUT,
         Outcome.UNKNOWN,
-        false,
+        true,
         "The request may have run; its outcome is not known."
     ),
     GATE_LOST(
@@ -129,7 +135,7 @@
     DEADLINE_AFTER_RUN(
         HttpStatus.GATEWAY_TIMEOUT,
         Outcome.UNKNOWN,
-        false,
+        true,
         "The deadline passed while the request was running."
     ),
     ANSWER_CUT_SHORT(HttpStatus.BAD_GATEWAY, Outcome.UNKNOWN, false, "The server's answer ended before it was whole."),
@@ -137,5 +143,25 @@
     INTERNAL(HttpStatus.INTERNAL_ERROR, Outcome.UNKNOWN, false, "An unexpected fault; the log has its cause."),
 }
 
-/** An error of [kind] with a [detail] for the log and, where known, when to come back. */
-data class RequestError(val kind: ErrorKind, val detail: String = "", val retryAfterMilliseconds: Long? = null)
+/**
+ * An error of [kind].
+ *
+ * @property detail what happened, for the log.
+ * @property retryAfterMilliseconds when to come back, where that is known.
+ * @property certain for a once-only request that was not run: no earlier attempt under its id was run either.
+ */
+data class RequestError(
+    val kind: ErrorKind,
+    val detail: String = "",
+    val retryAfterMilliseconds: Long? = null,
+    val certain: Boolean = false,
+) {
+    /**
+     * This error as it may be told to the caller of a once-only request. That an attempt was not run says nothing
+     * of earlier attempts under the same id, so it is told only of a [firstAttempt], or when it is [certain].
+     */
+    fun forOnceOnly(firstAttempt: Boolean): RequestError {
+        val misleads = kind.outcome == Outcome.NOT_RUN && kind.retryable && !firstAttempt && !certain
+        return if (misleads) copy(kind = ErrorKind.ATTEMPT_UNCLEAR, detail = "$kind $detail") else this
+    }
+}
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/CallEnds.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/CallEnds.kt
@@ -62,6 +62,7 @@
 
     private fun broken(call: GateCall, end: CallEnd.Broken, now: Long): List<GateEffect> {
         recentlyBroken[call.request.fingerprint] = now
+        call.mayHaveRun = true
         val again = call.request.kind == RunKind.REPEATABLE && !end.answerBegan && mayRetry(call, now)
         val kind = if (end.answerBegan) ErrorKind.ANSWER_CUT_SHORT else ErrorKind.OUTCOME_UNKNOWN
         return if (again) requeue(call) else state.end(call, RequestError(kind), ranAt = now)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/Dispatcher.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/Dispatcher.kt
@@ -35,7 +35,7 @@
         val kind = if (call.isSent) ErrorKind.DEADLINE_AFTER_RUN else ErrorKind.DEADLINE_BEFORE_RUN
         late.forEach { state.detach(it.id, call) }
         val error = RequestError(kind, retryAfterMilliseconds = admission.waitTime().toLong())
-        val answers = late.map { GateEffect.Refuse(it.id, error) }
+        val answers = late.map { state.refuse(it, call.truth(error)) }
         return answers + abandon(call)
     }
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateRequest.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateRequest.kt
@@ -16,6 +16,7 @@
  * @property fingerprint hash over method, target and body; equal for equal requests.
  * @property coalesceKey equal for requests that may share one answer; null where sharing is off.
  * @property onceId the caller's request id on a route of kind once.
+ * @property firstAttempt whether the caller says that it sends this id for the first time.
  */
 data class GateRequest(
     val id: Long,
@@ -28,6 +29,7 @@
     val deadlineAt: Long,
     val coalesceKey: String? = null,
     val onceId: String? = null,
+    val firstAttempt: Boolean = false,
 )
 
 /** The outcome of a once-only request, kept for callers who send it again. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateState.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateState.kt
@@ -4,6 +4,8 @@
 package rhubarbspool.gate
 
 import rhubarbspool.configuration.ServiceConfiguration
+import rhubarbspool.errors.ErrorKind
+import rhubarbspool.errors.Outcome
 import rhubarbspool.errors.RequestError
 
 /**
@@ -21,7 +23,20 @@
     /** Whether the table was asked for a record and has not answered. */
     var recording = false
 
+    /** Whether an earlier try was sent and got no answer. */
+    var mayHaveRun = false
+
+    /** Whether it is certain that no earlier attempt of a once-only request was run. */
+    var isNew = false
+
     val isSent: Boolean get() = sentAt != null
+
+    /** What may be told of [error]: that nothing ran only if no earlier try was sent. */
+    fun truth(error: RequestError): RequestError {
+        val misleads = mayHaveRun && error.kind.outcome != Outcome.UNKNOWN
+        return if (misleads) error.copy(kind = ErrorKind.OUTCOME_UNKNOWN) else error.copy(certain = isNew)
+    }
+
     val deadlineAt: Long get() = members.values.maxOf { it.deadlineAt }
 }
 
@@ -73,13 +88,17 @@
 
     /** Answers all members of [call] with [error] and forgets the call; [ranAt] when it may have run. */
     fun end(call: GateCall, error: RequestError, ranAt: Long? = null): List<GateEffect> {
-        val members = call.members.keys.toList()
+        val members = call.members.values.toList()
         drop(call, notRun = ranAt == null)
         val onceId = call.request.onceId
         if (onceId != null && ranAt != null) once[onceId] = OnceRegistry.Entry.Unclear(call.request.fingerprint, ranAt)
-        return members.map { GateEffect.Refuse(it, error) }
+        return members.map { refuse(it, call.truth(error)) }
     }
 
+    /** Answers [request] with [error], as far as that may be told. */
+    fun refuse(request: GateRequest, error: RequestError): GateEffect =
+        GateEffect.Refuse(request.id, if (request.onceId == null) error else error.forOnceOnly(request.firstAttempt))
+
     /** Forgets [call]; with [notRun] its record says that it was certainly not run. */
     fun drop(call: GateCall, notRun: Boolean) {
         val request = call.request
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/OnceDesk.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/OnceDesk.kt
@@ -26,7 +26,7 @@
         val call = state.calls[id] ?: return emptyList()
         call.recording = false
         return when (result) {
-            is IntentResult.Recorded -> dispatcher.admit(call, now)
+            is IntentResult.Recorded -> recorded(call, now)
             is IntentResult.Duplicate -> duplicate(call, result, now)
             is IntentResult.Unavailable -> unavailable(call, now)
         }
@@ -45,13 +45,25 @@
     }
 
     private fun start(request: GateRequest, onceId: String, hasRecord: Boolean, now: Long): List<GateEffect> {
-        val inDoubt = !hasRecord && now < state.suspectUntil
-        val refusal = if (inDoubt) unclear(state.suspectUntil - now) else admission.overload(request, now)
+        val refusal = earlyRefusal(request, hasRecord, now)
         if (refusal != null) return refuse(request, refusal)
         val call = state.start(request)
         state.once[onceId] = OnceRegistry.Entry.Open(request.fingerprint, request.id)
         call.recording = !hasRecord
-        return if (hasRecord) dispatcher.admit(call, now) else listOf(GateEffect.RecordIntent(request))
+        return if (hasRecord) recorded(call, now) else listOf(GateEffect.RecordIntent(request))
+    }
+
+    /** Overload is looked at before the record only where the refusal can be told as it is. */
+    private fun earlyRefusal(request: GateRequest, hasRecord: Boolean, now: Long): RequestError? = when {
+        !hasRecord && now < state.suspectUntil -> unclear(state.suspectUntil - now)
+        hasRecord || request.firstAttempt -> admission.overload(request, now)?.copy(certain = hasRecord)
+        else -> null
+    }
+
+    private fun recorded(call: GateCall, now: Long): List<GateEffect> {
+        call.isNew = true
+        val overload = if (call.members.isEmpty()) null else admission.overload(call.request, now)
+        return if (overload == null) dispatcher.admit(call, now) else state.end(call, overload)
     }
 
     private fun unavailable(call: GateCall, now: Long): List<GateEffect> {
@@ -78,7 +90,7 @@
         return members.flatMap { offer(it, onceId, now) }
     }
 
-    private fun refuse(request: GateRequest, error: RequestError) = listOf(GateEffect.Refuse(request.id, error))
+    private fun refuse(request: GateRequest, error: RequestError) = listOf(state.refuse(request, error))
 
     private fun unclear(retryAfter: Long? = null) =
         RequestError(ErrorKind.OUTCOME_UNKNOWN, retryAfterMilliseconds = retryAfter)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/ServerGate.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/ServerGate.kt
@@ -53,7 +53,7 @@
     private fun offered(request: GateRequest, now: Long): List<GateEffect> {
         val refusal = admission.refusal(request, now)
         return when {
-            refusal != null -> listOf(GateEffect.Refuse(request.id, refusal))
+            refusal != null -> listOf(state.refuse(request, refusal))
             request.onceId != null -> onceDesk.offer(request, request.onceId, now)
             else -> offeredRepeatable(request, now)
         }
@@ -64,7 +64,7 @@
         val overload = if (running == null) admission.overload(request, now) else null
         return when {
             running != null -> state.attach(request, running)
-            overload != null -> listOf(GateEffect.Refuse(request.id, overload))
+            overload != null -> listOf(state.refuse(request, overload))
             else -> dispatcher.admit(state.start(request), now)
         }
     }
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/ForwardRefusal.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/ForwardRefusal.java
@@ -139,6 +139,17 @@
     return retryAfterMilliseconds_;
   }
 
+  public static final int CERTAIN_FIELD_NUMBER = 4;
+  private boolean certain_ = false;
+  /**
+   * <code>bool certain = 4;</code>
+   * @return The certain.
+   */
+  @java.lang.Override
+  public boolean getCertain() {
+    return certain_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -162,6 +173,9 @@
     if (retryAfterMilliseconds_ != 0L) {
       output.writeInt64(3, retryAfterMilliseconds_);
     }
+    if (certain_ != false) {
+      output.writeBool(4, certain_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -176,6 +190,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, retryAfterMilliseconds_);
     }
+    if (certain_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, certain_);
+    }
     return size;
   }
   @java.lang.Override
@@ -206,6 +224,8 @@
         .equals(other.getDetail())) return false;
     if (getRetryAfterMilliseconds()
         != other.getRetryAfterMilliseconds()) return false;
+    if (getCertain()
+        != other.getCertain()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -224,6 +244,9 @@
     hash = (37 * hash) + RETRY_AFTER_MILLISECONDS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRetryAfterMilliseconds());
+    hash = (37 * hash) + CERTAIN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCertain());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -358,6 +381,7 @@
       errorKind_ = "";
       detail_ = "";
       retryAfterMilliseconds_ = 0L;
+      certain_ = false;
       return this;
     }
 
@@ -400,6 +424,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.retryAfterMilliseconds_ = retryAfterMilliseconds_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.certain_ = certain_;
+      }
     }
 
     @java.lang.Override
@@ -427,6 +454,9 @@
       if (other.getRetryAfterMilliseconds() != 0L) {
         setRetryAfterMilliseconds(other.getRetryAfterMilliseconds());
       }
+      if (other.getCertain() != false) {
+        setCertain(other.getCertain());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -466,6 +496,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              certain_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -659,6 +694,38 @@
       return this;
     }
 
+    private boolean certain_ ;
+    /**
+     * <code>bool certain = 4;</code>
+     * @return The certain.
+     */
+    @java.lang.Override
+    public boolean getCertain() {
+      return certain_;
+    }
+    /**
+     * <code>bool certain = 4;</code>
+     * @param value The certain to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCertain(boolean value) {
+
+      certain_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool certain = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCertain() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      certain_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:rhubarbspool.protocol.ForwardRefusal)
   }
 
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/ForwardRefusalOrBuilder.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/ForwardRefusalOrBuilder.java
@@ -39,4 +39,10 @@
    * @return The retryAfterMilliseconds.
    */
   long getRetryAfterMilliseconds();
+
+  /**
+   * <code>bool certain = 4;</code>
+   * @return The certain.
+   */
+  boolean getCertain();
 }
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/ForwardRequest.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/ForwardRequest.java
@@ -433,6 +433,17 @@
     return remainingMilliseconds_;
   }
 
+  public static final int FIRST_ATTEMPT_FIELD_NUMBER = 12;
+  private boolean firstAttempt_ = false;
+  /**
+   * <code>bool first_attempt = 12;</code>
+   * @return The firstAttempt.
+   */
+  @java.lang.Override
+  public boolean getFirstAttempt() {
+    return firstAttempt_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -480,6 +491,9 @@
     if (remainingMilliseconds_ != 0L) {
       output.writeInt64(11, remainingMilliseconds_);
     }
+    if (firstAttempt_ != false) {
+      output.writeBool(12, firstAttempt_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -525,6 +539,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(11, remainingMilliseconds_);
     }
+    if (firstAttempt_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, firstAttempt_);
+    }
     return size;
   }
   @java.lang.Override
@@ -571,6 +589,8 @@
         .equals(other.getRequestId())) return false;
     if (getRemainingMilliseconds()
         != other.getRemainingMilliseconds()) return false;
+    if (getFirstAttempt()
+        != other.getFirstAttempt()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -607,6 +627,9 @@
     hash = (37 * hash) + REMAINING_MILLISECONDS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRemainingMilliseconds());
+    hash = (37 * hash) + FIRST_ATTEMPT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getFirstAttempt());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -755,6 +778,7 @@
       caller_ = "";
       requestId_ = "";
       remainingMilliseconds_ = 0L;
+      firstAttempt_ = false;
       return this;
     }
 
@@ -831,6 +855,9 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.remainingMilliseconds_ = remainingMilliseconds_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.firstAttempt_ = firstAttempt_;
+      }
     }
 
     @java.lang.Override
@@ -917,6 +944,9 @@
       if (other.getRemainingMilliseconds() != 0L) {
         setRemainingMilliseconds(other.getRemainingMilliseconds());
       }
+      if (other.getFirstAttempt() != false) {
+        setFirstAttempt(other.getFirstAttempt());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1004,6 +1034,11 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 88
+            case 96: {
+              firstAttempt_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1895,6 +1930,38 @@
       return this;
     }
 
+    private boolean firstAttempt_ ;
+    /**
+     * <code>bool first_attempt = 12;</code>
+     * @return The firstAttempt.
+     */
+    @java.lang.Override
+    public boolean getFirstAttempt() {
+      return firstAttempt_;
+    }
+    /**
+     * <code>bool first_attempt = 12;</code>
+     * @param value The firstAttempt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFirstAttempt(boolean value) {
+
+      firstAttempt_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool first_attempt = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFirstAttempt() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      firstAttempt_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:rhubarbspool.protocol.ForwardRequest)
   }
 
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/ForwardRequestOrBuilder.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/ForwardRequestOrBuilder.java
@@ -141,4 +141,10 @@
    * @return The remainingMilliseconds.
    */
   long getRemainingMilliseconds();
+
+  /**
+   * <code>bool first_attempt = 12;</code>
+   * @return The firstAttempt.
+   */
+  boolean getFirstAttempt();
 }
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/Rhubarbspool.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/Rhubarbspool.java
@@ -226,18 +226,19 @@
       " \001(\010\022\r\n\005phase\030\013 \001(\tJ\004\010\007\020\010\"G\n\025Configurati" +
       "onDocument\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002" +
       " \001(\003\022\014\n\004body\030\003 \001(\014\"*\n\013HeaderField\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\364\001\n\016ForwardReques" +
+      "e\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\213\002\n\016ForwardReques" +
       "t\022\017\n\007service\030\001 \001(\t\022\r\n\005route\030\002 \001(\t\022\013\n\003key" +
       "\030\003 \001(\t\022\016\n\006server\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\016" +
       "\n\006target\030\006 \001(\t\0223\n\007headers\030\007 \003(\0132\".rhubar" +
       "bspool.protocol.HeaderField\022\014\n\004body\030\010 \001(" +
       "\014\022\016\n\006caller\030\t \001(\t\022\022\n\nrequest_id\030\n \001(\t\022\036\n" +
-      "\026remaining_milliseconds\030\013 \001(\003\"b\n\013Forward" +
-      "Head\022\016\n\006status\030\001 \001(\005\0223\n\007headers\030\002 \003(\0132\"." +
-      "rhubarbspool.protocol.HeaderField\022\016\n\006ser" +
-      "ver\030\003 \001(\t\"V\n\016ForwardRefusal\022\022\n\nerror_kin" +
-      "d\030\001 \001(\t\022\016\n\006detail\030\002 \001(\t\022 \n\030retry_after_m" +
-      "illiseconds\030\003 \001(\003\"\250\001\n\014ForwardChunk\0222\n\004he" +
+      "\026remaining_milliseconds\030\013 \001(\003\022\025\n\rfirst_a" +
+      "ttempt\030\014 \001(\010\"b\n\013ForwardHead\022\016\n\006status\030\001 " +
+      "\001(\005\0223\n\007headers\030\002 \003(\0132\".rhubarbspool.prot" +
+      "ocol.HeaderField\022\016\n\006server\030\003 \001(\t\"g\n\016Forw" +
+      "ardRefusal\022\022\n\nerror_kind\030\001 \001(\t\022\016\n\006detail" +
+      "\030\002 \001(\t\022 \n\030retry_after_milliseconds\030\003 \001(\003" +
+      "\022\017\n\007certain\030\004 \001(\010\"\250\001\n\014ForwardChunk\0222\n\004he" +
       "ad\030\001 \001(\0132\".rhubarbspool.protocol.Forward" +
       "HeadH\000\022\016\n\004body\030\002 \001(\014H\000\022\022\n\010complete\030\003 \001(\010" +
       "H\000\0228\n\007refusal\030\004 \001(\0132%.rhubarbspool.proto" +
@@ -409,7 +410,7 @@
     internal_static_rhubarbspool_protocol_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_rhubarbspool_protocol_ForwardRequest_descriptor,
-        new java.lang.String[] { "Service", "Route", "Key", "Server", "Method", "Target", "Headers", "Body", "Caller", "RequestId", "RemainingMilliseconds", });
+        new java.lang.String[] { "Service", "Route", "Key", "Server", "Method", "Target", "Headers", "Body", "Caller", "RequestId", "RemainingMilliseconds", "FirstAttempt", });
     internal_static_rhubarbspool_protocol_ForwardHead_descriptor =
       getDescriptor().getMessageType(24);
     internal_static_rhubarbspool_protocol_ForwardHead_fieldAccessorTable = new
@@ -421,7 +422,7 @@
     internal_static_rhubarbspool_protocol_ForwardRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_rhubarbspool_protocol_ForwardRefusal_descriptor,
-        new java.lang.String[] { "ErrorKind", "Detail", "RetryAfterMilliseconds", });
+        new java.lang.String[] { "ErrorKind", "Detail", "RetryAfterMilliseconds", "Certain", });
     internal_static_rhubarbspool_protocol_ForwardChunk_descriptor =
       getDescriptor().getMessageType(26);
     internal_static_rhubarbspool_protocol_ForwardChunk_fieldAccessorTable = new
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerEntry.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerEntry.kt
@@ -21,11 +21,11 @@
     val match: RouteMatch,
     val headers: List<Header>,
     val caller: String,
-    val requestId: String?,
+    val attempt: Attempt,
     val deadlineAt: Long,
 ) {
     /** The whole request. */
-    fun withBody(body: ByteArray) = IncomingRequest(match, headers, body, caller, requestId, deadlineAt)
+    fun withBody(body: ByteArray) = IncomingRequest(match, headers, body, caller, attempt, deadlineAt)
 }
 
 /** Entry of callers' requests. */
@@ -75,13 +75,14 @@
             match,
             passedOn.map { Header(it.key, it.value) },
             caller = request.headers()[CALLER] ?: peer,
-            requestId = request.headers()[REQUEST_ID],
+            attempt = Attempt(request.headers()[REQUEST_ID], request.headers()[ATTEMPT] == "1"),
             deadlineAt = ProcessClock.monotonic() + allowed,
         )
     }
 
     private companion object {
         const val REQUEST_ID = "idempotency-key"
+        const val ATTEMPT = "rhubarbspool-attempt"
         const val CALLER = "rhubarbspool-caller"
         const val DEADLINE = "rhubarbspool-deadline-milliseconds"
         val REQUEST_ID_SHAPE = Regex("[A-Za-z0-9._:-]{1,128}")
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardClient.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardClient.kt
@@ -62,6 +62,7 @@
             .setCaller(request.caller)
             .setRequestId(request.requestId.orEmpty())
             .setRemainingMilliseconds(remaining)
+            .setFirstAttempt(request.attempt.isFirst)
             .build()
 
     /** Knows whether any byte of the request left this process. */
@@ -140,7 +141,7 @@
     private fun errorOf(chunk: ForwardChunk): RequestError {
         val refusal = chunk.refusal
         val kind = ErrorKind.entries.firstOrNull { it.name == refusal.errorKind } ?: ErrorKind.INTERNAL
-        return RequestError(kind, refusal.detail, refusal.retryAfterMilliseconds.takeIf { it >= 0 })
+        return RequestError(kind, refusal.detail, refusal.retryAfterMilliseconds.takeIf { it >= 0 }, refusal.certain)
     }
 
     private companion object {
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardService.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardService.kt
@@ -56,7 +56,7 @@
             message.headersList.map { Header(it.name, it.value) },
             message.body.toByteArray(),
             message.caller,
-            message.requestId.ifEmpty { null },
+            Attempt(message.requestId.ifEmpty { null }, message.firstAttempt),
             ProcessClock.monotonic() + message.remainingMilliseconds,
         )
     }
@@ -98,7 +98,7 @@
 
         override fun refuse(error: RequestError) {
             val refusal = ForwardRefusal.newBuilder().setErrorKind(error.kind.name).setDetail(error.detail)
-                .setRetryAfterMilliseconds(error.retryAfterMilliseconds ?: -1)
+                .setRetryAfterMilliseconds(error.retryAfterMilliseconds ?: -1).setCertain(error.certain)
             send(ForwardChunk.newBuilder().setRefusal(refusal))
             done { stream.onCompleted() }
         }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateHost.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateHost.kt
@@ -30,6 +30,8 @@
     private val records = GateRecords(context)
     private val hotKeys = HotKeyCounter()
     private val members = GateMembers()
+    private val effects = ArrayDeque<GateEffect>()
+    private var isRunning = false
 
     /** Whether nothing is left here, so that the host may be dropped. */
     val isIdle: Boolean get() = members.isEmpty && work.isEmpty
@@ -110,7 +112,17 @@
         }
     }
 
-    private fun tell(event: GateEvent) = gate.handle(event, ProcessClock.monotonic()).forEach(::run)
+    /** Tells the gate of [event]; what it decides is carried out in the order in which it was decided. */
+    private fun tell(event: GateEvent) {
+        effects += gate.handle(event, ProcessClock.monotonic())
+        if (isRunning) return
+        isRunning = true
+        try {
+            while (effects.isNotEmpty()) run(effects.removeFirst())
+        } finally {
+            isRunning = false
+        }
+    }
 
     private fun run(effect: GateEffect) {
         when (effect) {
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateRequests.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/GateRequests.kt
@@ -30,5 +30,6 @@
         deadlineAt = deadlineAt,
         coalesceKey = fingerprint.takeIf { share && route.coalesce },
         onceId = requestId.takeIf { route.kind == RunKind.ONCE },
+        firstAttempt = attempt.isFirst,
     )
 }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/IncomingRequest.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/IncomingRequest.kt
@@ -12,11 +12,14 @@
 /** One header field. */
 internal data class Header(val name: String, val value: String)
 
+/** A caller's [requestId] of a once-only request; [isFirst] when the caller says that it is new. */
+internal data class Attempt(val requestId: String?, val isFirst: Boolean)
+
 /**
  * A request that was matched to a route.
  *
  * @property caller who asks, for fairness between callers.
- * @property requestId the caller's id of a once-only request.
+ * @property attempt the caller's id of a once-only request, and whether it sends the id for the first time.
  * @property deadlineAt monotonic milliseconds of this process.
  */
 internal class IncomingRequest(
@@ -24,9 +27,11 @@
     val headers: List<Header>,
     val body: ByteArray,
     val caller: String,
-    val requestId: String?,
+    val attempt: Attempt,
     val deadlineAt: Long,
 ) {
+    val requestId: String? get() = attempt.requestId
+
     val configuration: ServiceConfiguration get() = match.configuration
     val route: Route get() = match.route
     val key: String get() = match.key
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RequestFlow.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RequestFlow.kt
@@ -75,8 +75,9 @@
 
         private fun finish(error: RequestError) {
             val unclear = maybeRun && error.kind.outcome == Outcome.NOT_RUN
-            val retryAfter = error.retryAfterMilliseconds
-            sink.refuse(if (unclear) RequestError(ErrorKind.GATE_LOST, error.detail, retryAfter) else error)
+            val final = if (unclear) error.copy(kind = ErrorKind.GATE_LOST) else error
+            val once = request.route.kind == RunKind.ONCE
+            sink.refuse(if (once) final.forOnceOnly(request.attempt.isFirst) else final)
         }
 
         private fun submit(location: KeyLocation, attempt: AnswerSink): Ticket? {
