--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/ControllerDaemon.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/ControllerDaemon.kt
@@ -44,6 +44,7 @@
     private val channels = Channels(group, pings = false)
     private val effects = EffectRunner(node, loop, table, objects, PeerClient(channels, node.state), ::tick)
     private val local = LocalService(node, random.nextLong(), ::tick)
+    private val transports = TransportWatch { local.connectionEnded(it) }
     private val metrics = Metrics()
     private val gauges = ControllerGauges(metrics)
     private val left = CompletableFuture<Unit>()
@@ -57,6 +58,8 @@
             .bossEventLoopGroup(group).workerEventLoopGroup(group).channelType(NioServerSocketChannel::class.java)
             .directExecutor()
             .maxInboundMessageSize(Channels.MAXIMUM_MESSAGE_BYTES)
+            .addTransportFilter(transports)
+            .intercept(transports)
             .addService(PeerService(node, objects, local))
             .addService(local)
             .build().start()
@@ -85,7 +88,10 @@
 
     private fun tick() {
         val now = ProcessClock.now()
-        runSafely { effects.run(node.tick(now)) }
+        runSafely {
+            effects.run(node.tick(now))
+            local.pushChanges()
+        }
         gauges.update(node, table, now)
         if (node.state.phase == Phase.LEFT && !left.isDone) {
             loop.schedule({ left.complete(Unit) }, GOODBYE_MILLISECONDS, TimeUnit.MILLISECONDS)
@@ -102,7 +108,7 @@
     }
 
     private companion object {
-        const val TICK_MILLISECONDS = 20L
+        const val TICK_MILLISECONDS = 30L
         const val PLATFORM_TIMEOUT_MILLISECONDS = 2_000L
         const val GOODBYE_MILLISECONDS = 200L
     }
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/EffectRunner.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/EffectRunner.kt
@@ -28,7 +28,7 @@
 
     private fun run(effect: ControlEffect) {
         when (effect) {
-            is ControlEffect.AskPromise -> peers.askPromise(effect) { if (it) onLoop { node.onPromise(effect) } }
+            is ControlEffect.AskPromise -> peers.askPromise(effect) { onLoop { node.onPromise(effect) } }
             is ControlEffect.Commit -> commit(effect)
             is ControlEffect.Scan -> scan(effect.after)
             is ControlEffect.Push -> peers.push(effect.peer, effect.rows)
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/LocalService.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/LocalService.kt
@@ -11,6 +11,7 @@
 import rhubarbspool.control.ControlNode
 import rhubarbspool.control.CrashNotice
 import rhubarbspool.control.HotKey
+import rhubarbspool.control.Orders
 import rhubarbspool.control.ReleaseOrder
 import rhubarbspool.control.RouterNews
 import rhubarbspool.edge.ProcessClock
@@ -32,23 +33,74 @@
     private val changed: () -> Unit,
 ) : LocalGrpc.LocalImplBase() {
     private var askedAt: Long? = null
+    private var stream: RouterStream? = null
 
     /** Whether the router has asked lately. */
     fun isConnected(now: Now): Boolean = askedAt?.let { now.monotonic - it < CONNECTED_MILLISECONDS } ?: false
 
-    override fun synchronise(report: RouterReport, observer: StreamObserver<RouterOrders>) {
+    override fun synchronise(observer: StreamObserver<RouterOrders>): StreamObserver<RouterReport> =
+        RouterStream(observer, TransportWatch.NUMBER.get()).also { stream = it }
+
+    /** The connection numbered [connection] has ended. */
+    fun connectionEnded(connection: Long) {
+        if (stream?.connection != connection) return
+        stream = null
+        node.router.gone()
+        changed()
+    }
+
+    /** Sends orders at once when something changed since the last ones. */
+    fun pushChanges() {
+        val open = stream ?: return
         val now = ProcessClock.now()
-        askedAt = now.monotonic
-        val news = newsOf(report)
-        node.router.report(news, now)
-        if (news.releasedGates.isNotEmpty() || news.releasedShards.isNotEmpty()) changed()
-        observer.reply(orders(report, now))
+        if (open.isStale(now)) open.send(now)
+    }
+
+    /** The connection to one router process. */
+    private inner class RouterStream(
+        private val observer: StreamObserver<RouterOrders>,
+        val connection: Long,
+    ) : StreamObserver<RouterReport> {
+        private var report = RouterReport.getDefaultInstance()
+        private var sentRows = -1L
+        private var sentOrders: Orders? = null
+
+        override fun onNext(message: RouterReport) {
+            val now = ProcessClock.now()
+            askedAt = now.monotonic
+            val news = newsOf(message)
+            node.router.report(news, now)
+            report = message.toBuilder().setViewSequence(maxOf(message.viewSequence, report.viewSequence)).build()
+            if (news.releasedGates.isNotEmpty() || news.releasedShards.isNotEmpty()) changed()
+            send(now)
+        }
+
+        override fun onError(failure: Throwable) = Unit
+
+        override fun onCompleted() = Unit
+
+        /** Whether rows, releases or the set of gates changed since the last orders. */
+        fun isStale(now: Now): Boolean {
+            val current = node.router.orders(now)
+            val sameGates = current.gates.map { it.server to it.releaseOrder } ==
+                sentOrders?.gates?.map { it.server to it.releaseOrder }
+            val known = report !== RouterReport.getDefaultInstance()
+            return known && (sentRows != node.state.rows.changes || !sameGates || current.releases != sentOrders?.releases)
+        }
+
+        fun send(now: Now) {
+            val orders = node.router.orders(now)
+            sentOrders = orders
+            observer.onNext(message(report, orders, now))
+            sentRows = node.state.rows.changes
+            val sequence = if (report.controllerRun == run) sentRows else report.viewSequence
+            report = report.toBuilder().setViewSequence(sequence).build()
+        }
     }
 
-    private fun orders(report: RouterReport, now: Now): RouterOrders {
+    private fun message(report: RouterReport, orders: Orders, now: Now): RouterOrders {
         val rows = node.state.rows
         val full = report.controllerRun != run
-        val orders = node.router.orders(now)
         return RouterOrders.newBuilder()
             .setControllerRun(run)
             .setViewSequence(rows.changes)
@@ -60,6 +112,7 @@
             .setCompleteRevision(node.state.completeRevision)
             .setUnrecordedAllowed(node.router.unrecordedAllowed(now))
             .setPhase(node.state.phase.name)
+            .setAskedAt(report.askedAt)
             .build()
     }
 
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/PeerClient.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/PeerClient.kt
@@ -9,6 +9,7 @@
 import rhubarbspool.control.ControlState
 import rhubarbspool.edge.Channels
 import rhubarbspool.edge.ObjectStore
+import rhubarbspool.edge.ProcessClock
 import rhubarbspool.edge.toMessage
 import rhubarbspool.edge.toVersionedRow
 import rhubarbspool.lease.LeaseScope
@@ -27,19 +28,38 @@
 
 /** Sends effects to peers. Answers come on the controller's event loop. */
 internal class PeerClient(private val channels: Channels, private val state: ControlState) {
-    /** Asks for a promise; [answered] hears whether it was given. */
-    fun askPromise(ask: ControlEffect.AskPromise, answered: (Boolean) -> Unit) {
-        val request = PromiseRequest.newBuilder()
-            .setHolder(state.identity.instance.text)
-            .setGeneration(ask.generation)
-            .setRemote(ask.scope == LeaseScope.REMOTE)
-            .setUnrecordedRuns(ask.unrecordedRuns)
-            .setSuccessorGeneration(ask.successor.generation)
-            .setSentAt(ask.sentAt)
-            .build()
-        call(ask.successor.instance, PROMISE_MILLISECONDS, { promise(request) }) { answered(it.promised) }
+    private val promiseStreams = HashMap<InstanceName, PromiseStream>()
+
+    /** Asks for a promise; [answered] hears when it is given. */
+    fun askPromise(ask: ControlEffect.AskPromise, answered: () -> Unit) {
+        val address = state.rows.members[ask.successor.instance]?.member?.controller ?: return
+        val old = promiseStreams[ask.successor.instance]
+        if (old != null && (old.address != address || old.isSilent)) replace(ask.successor.instance, old)
+        val stream = promiseStreams.getOrPut(ask.successor.instance) { open(ask.successor.instance, address) }
+        stream.ask(ask, request(ask), answered)
+    }
+
+    private fun open(peer: InstanceName, address: Address): PromiseStream {
+        lateinit var stream: PromiseStream
+        val stub = PeerGrpc.newStub(channels.channel(address))
+        stream = PromiseStream(address, stub) { promiseStreams.remove(peer, stream) }
+        return stream
     }
 
+    private fun replace(peer: InstanceName, stream: PromiseStream) {
+        promiseStreams.remove(peer, stream)
+        channels.replace(stream.address)
+    }
+
+    private fun request(ask: ControlEffect.AskPromise): PromiseRequest = PromiseRequest.newBuilder()
+        .setHolder(state.identity.instance.text)
+        .setGeneration(ask.generation)
+        .setRemote(ask.scope == LeaseScope.REMOTE)
+        .setUnrecordedRuns(ask.unrecordedRuns)
+        .setSuccessorGeneration(ask.successor.generation)
+        .setSentAt(ask.sentAt)
+        .build()
+
     /** Passes [rows] on to [peer]. */
     fun push(peer: InstanceName, rows: List<VersionedRow>) {
         val batch = RowBatch.newBuilder().addAllRows(rows.map { it.toMessage() }).build()
@@ -77,17 +97,18 @@
         received: (T) -> Unit,
     ) {
         val address = state.rows.members[peer]?.member?.controller ?: return
+        val startedAt = ProcessClock.monotonic()
         val stub = PeerGrpc.newFutureStub(channels.channel(address))
             .withDeadlineAfter(timeoutMilliseconds, TimeUnit.MILLISECONDS)
         val future = stub.start()
-        future.addListener({ finish(address, future, received) }, Runnable::run)
+        future.addListener({ finish(address, startedAt, future, received) }, Runnable::run)
     }
 
-    private fun <T> finish(address: Address, future: ListenableFuture<T>, received: (T) -> Unit) {
+    private fun <T> finish(address: Address, startedAt: Long, future: ListenableFuture<T>, received: (T) -> Unit) {
         val value = try {
             future.get()
         } catch (exception: ExecutionException) {
-            if (exception.cause is StatusRuntimeException) channels.missed(address)
+            if (exception.cause is StatusRuntimeException) channels.missed(address, startedAt)
             return
         }
         channels.answered(address)
@@ -95,7 +116,6 @@
     }
 
     private companion object {
-        const val PROMISE_MILLISECONDS = 500L
         const val EXCHANGE_MILLISECONDS = 2_000L
     }
 }
--- a/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/PeerService.kt
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/PeerService.kt
@@ -34,17 +34,27 @@
     private val objects: ObjectCache,
     private val local: LocalService,
 ) : PeerGrpc.PeerImplBase() {
-    override fun promise(request: PromiseRequest, observer: StreamObserver<PromiseReply>) {
-        val question = Question(
-            InstanceName(request.holder),
-            request.generation,
-            if (request.remote) LeaseScope.REMOTE else LeaseScope.LOCAL,
-            request.sentAt,
-            request.unrecordedRuns,
-        )
-        val promised = node.onPromiseRequest(question, request.successorGeneration, ProcessClock.now())
-        observer.reply(PromiseReply.newBuilder().setPromised(promised).build())
-    }
+    override fun promises(observer: StreamObserver<PromiseReply>): StreamObserver<PromiseRequest> =
+        object : StreamObserver<PromiseRequest> {
+            override fun onNext(request: PromiseRequest) {
+                val question = question(request)
+                val promised = node.onPromiseRequest(question, request.successorGeneration, ProcessClock.now())
+                val reply = PromiseReply.newBuilder().setPromised(promised).setSentAt(request.sentAt)
+                observer.onNext(reply.setRemote(request.remote).build())
+            }
+
+            override fun onError(failure: Throwable) = Unit
+
+            override fun onCompleted() = observer.onCompleted()
+        }
+
+    private fun question(request: PromiseRequest) = Question(
+        InstanceName(request.holder),
+        request.generation,
+        if (request.remote) LeaseScope.REMOTE else LeaseScope.LOCAL,
+        request.sentAt,
+        request.unrecordedRuns,
+    )
 
     override fun exchange(request: ExchangeRequest, observer: StreamObserver<ExchangeReply>) {
         val mine = node.state.rows.digest.values
--- /dev/null
+++ b/rhubarbspool-controller/src/main/kotlin/rhubarbspool/controller/TransportWatch.kt
@@ -0,0 +1,43 @@
+/*
+ * Tells which connection a call came over, and when that connection has ended. The connection of the local router
+ * ends only when its process has ended, or when the router itself gave it up after a silence that is longer than
+ * any permission lasts; the end of a single stream would prove neither.
+ */
+package rhubarbspool.controller
+
+import io.grpc.Attributes
+import io.grpc.Context
+import io.grpc.Contexts
+import io.grpc.Metadata
+import io.grpc.ServerCall
+import io.grpc.ServerCallHandler
+import io.grpc.ServerInterceptor
+import io.grpc.ServerTransportFilter
+
+/** Numbers connections; [ended] hears the number of each that has ended. */
+internal class TransportWatch(private val ended: (Long) -> Unit) : ServerTransportFilter(), ServerInterceptor {
+    private var last = 0L
+
+    override fun transportReady(attributes: Attributes): Attributes =
+        attributes.toBuilder().set(NUMBER_ATTRIBUTE, ++last).build()
+
+    override fun transportTerminated(attributes: Attributes?) {
+        attributes?.get(NUMBER_ATTRIBUTE)?.let(ended)
+    }
+
+    override fun <Q : Any, A : Any> interceptCall(
+        call: ServerCall<Q, A>,
+        headers: Metadata,
+        next: ServerCallHandler<Q, A>,
+    ): ServerCall.Listener<Q> {
+        val number = call.attributes.get(NUMBER_ATTRIBUTE) ?: 0
+        return Contexts.interceptCall(Context.current().withValue(NUMBER, number), call, headers, next)
+    }
+
+    companion object {
+        private val NUMBER_ATTRIBUTE = Attributes.Key.create<Long>("connection-number")
+
+        /** Number of the connection that the current call came over. */
+        val NUMBER: Context.Key<Long> = Context.key("connection-number")
+    }
+}
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlNode.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlNode.kt
@@ -28,13 +28,13 @@
         JoinSystem,
         SuccessorSystem(),
         TakeoverSystem,
-        ClaimSystem(),
-        HandoverSystem(),
-        ShardCreationSystem(),
-        ShardMoveSystem(),
-        HotKeySystem,
-        ServerSystem,
-        configurationSystem,
+        PacedSystem(ClaimSystem(), IDLE_MILLISECONDS),
+        PacedSystem(HandoverSystem(), IDLE_MILLISECONDS),
+        PacedSystem(ShardCreationSystem(), IDLE_MILLISECONDS),
+        PacedSystem(ShardMoveSystem(), IDLE_MILLISECONDS),
+        PacedSystem(HotKeySystem, IDLE_MILLISECONDS),
+        PacedSystem(ServerSystem, IDLE_MILLISECONDS),
+        PacedSystem(configurationSystem, IDLE_MILLISECONDS),
         RetrySystem,
         GossipSystem(),
     )
@@ -96,4 +96,8 @@
             if (state.rows.merge(row) && spread) state.fresh += row
         }
     }
+
+    private companion object {
+        const val IDLE_MILLISECONDS = 250L
+    }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlState.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlState.kt
@@ -113,8 +113,11 @@
     internal val fresh = ArrayList<VersionedRow>()
     internal val crashes = ArrayList<CrashNotice>()
     internal var unrecordedRuns = false
+    /** Counts what the router reported that may call for action. */
+    internal var news = 0L
     internal var routerSeenAt: Long? = null
     internal var routerLeaving = false
+    internal var routerGone = false
 
     /** Transactions whose outcome is not known yet. */
     val openWrites: Int get() = pending.size
@@ -149,7 +152,7 @@
      * ended, by its own clock as well.
      */
     internal fun routerLost(now: Now): Boolean =
-        routerSeenAt?.let { now.monotonic - it > times.takeoverWait } ?: true
+        routerGone || routerSeenAt?.let { now.monotonic - it > times.takeoverWait } ?: true
 
     /** Gates that the table gives to this generation of this instance. */
     internal fun ownGates(): List<GateEntry> = rows.gates.values.filter { isOwn(it) }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/RouterDesk.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/RouterDesk.kt
@@ -13,6 +13,7 @@
 class RouterDesk internal constructor(private val state: ControlState) {
     /** Takes in what the router reports at [now]. */
     fun report(news: RouterNews, now: Now) {
+        if (news.callsForAction || news.reachable.any { state.reachable[it.key] != it.value }) state.news++
         news.releasedGates.forEach(::gateReleased)
         news.releasedShards.forEach(::shardReleased)
         news.reachable.forEach { (server, reachable) -> state.noteReachable(server, reachable, now) }
@@ -20,10 +21,20 @@
         news.hotKeys.forEach { noteHotKey(it, now) }
         state.unrecordedRuns = news.unrecordedRuns
         state.routerSeenAt = now.monotonic
+        state.routerGone = false
         state.routerLeaving = news.leaving
     }
 
-    /** What the router may do at [now]. */
+    /** The router's process has ended, or has lost its connection for longer than any permission lasts. */
+    fun gone() {
+        state.routerGone = true
+        state.news++
+    }
+
+    /**
+     * What the router may do at [now]. Times that remain count from the router's last report, so that the router
+     * can count them from when it sent that report.
+     */
     fun orders(now: Now): Orders {
         val gates = state.ownGates().mapNotNull { order(it, now) }
         val held = gates.map { it.server }.toSet()
@@ -57,7 +68,7 @@
         GateOrder(
             entry.gate.server,
             entry.gate.epoch,
-            minOf(until - now.monotonic, state.times.lease),
+            minOf(until - (state.routerSeenAt ?: now.monotonic), state.times.lease),
             state.handovers[entry.gate.server]?.order ?: 0,
             entry.gate.suspectUntilMilliseconds,
         )
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/RouterMessages.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/RouterMessages.kt
@@ -30,7 +30,12 @@
     val hotKeys: List<HotKey> = emptyList(),
     val unrecordedRuns: Boolean = false,
     val leaving: Boolean = false,
-)
+) {
+    /** Whether something in here may call for action at once. */
+    internal val callsForAction: Boolean
+        get() = leaving || releasedGates.isNotEmpty() || releasedShards.isNotEmpty() || crashes.isNotEmpty() ||
+            hotKeys.isNotEmpty()
+}
 
 /** A key that takes a large share of the slots of [server]. */
 data class HotKey(val service: ServiceName, val key: String, val server: ServerName)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/SuccessorSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/SuccessorSystem.kt
@@ -17,6 +17,7 @@
 internal class SuccessorSystem : ControlSystem {
     private val askedAt = HashMap<Pair<LeaseScope, Successor>, Long>()
     private var wroteAt = Long.MIN_VALUE / 2
+    private var consideredAt = Long.MIN_VALUE / 2
 
     override fun run(state: ControlState, now: Now): List<ControlEffect> {
         if (state.phase != Phase.JOINED && state.phase != Phase.LEAVING) return emptyList()
@@ -25,7 +26,9 @@
     }
 
     private fun write(state: ControlState, now: Now): List<ControlEffect> {
-        val due = now.monotonic - wroteAt >= state.times.renewal
+        val due = now.monotonic - wroteAt >= state.times.renewal &&
+            now.monotonic - consideredAt >= CONSIDER_MILLISECONDS
+        if (due) consideredAt = now.monotonic
         val row = state.self?.member?.takeIf { due && it.generation == state.generation }
         val wanted = row?.let { withSuccessors(state, it, now) }
             ?.takeIf { it != row || needsConfirmation(state, now) }
@@ -74,6 +77,7 @@
         /** Successors that a holder names in each scope, where there are so many. */
         const val SUCCESSORS: Int = 2
 
+        private const val CONSIDER_MILLISECONDS = 50L
         private const val REMOTE_QUESTIONS_PER_LEASE = 5
 
         /** [body] with the successors that it should name at [now]. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/errors/ErrorKind.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/errors/ErrorKind.kt
@@ -73,6 +73,7 @@
         true,
         "The instance has no room for more connections."
     ),
+    INSTANCE_OVERLOADED(HttpStatus.UNAVAILABLE, Outcome.NOT_RUN, true, "The instance has more to do than it can."),
     OVERLOADED(HttpStatus.UNAVAILABLE, Outcome.NOT_RUN, true, "The server of this key can't meet the deadline."),
     DEADLINE_BEFORE_RUN(
         HttpStatus.UNAVAILABLE,
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/Admission.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/Admission.kt
@@ -16,13 +16,17 @@
         else -> null
     }
 
-    /** Why [request] can't be added at [now] to what waits already; null when it can. */
+    /**
+     * Why [request] can't be added at [now] to what waits already; null when it can. While a slot is free it always
+     * can: refusals alone would never teach the gate that a server has become fast again.
+     */
     fun overload(request: GateRequest, now: Long): RequestError? {
         val ahead = state.inFlight + state.queue.size
         val full = state.queue.size >= state.configuration.limits.queueLength
         val service = state.slots.serviceTime * state.policy.headroom(ahead)
         val late = now + waitTime() + service > request.deadlineAt
-        val refuse = state.policy.earlyRefusal && (full || late)
+        val slotFree = ahead < state.slots.allowed
+        val refuse = state.policy.earlyRefusal && !slotFree && (full || late)
         return if (refuse) RequestError(ErrorKind.OVERLOADED, retryAfterMilliseconds = waitTime().toLong()) else null
     }
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/CallEnds.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/CallEnds.kt
@@ -17,6 +17,7 @@
         val took = now - (call.sentAt ?: now)
         if (call.isSent && slotFree) state.inFlight--
         call.sentAt = null
+        state.sent -= call
         return when (end) {
             is CallEnd.Answered -> answered(call, end, took, now)
             is CallEnd.Shed -> shed(call, end, now)
@@ -29,7 +30,7 @@
     fun serverCrashed(now: Long): List<GateEffect> {
         state.slots.becameCold()
         recentlyBroken.values.removeAll { now - it > CRASH_WINDOW_MILLISECONDS }
-        val present = state.calls.values.filter { it.isSent }.map { it.request.fingerprint }
+        val present = state.sent.map { it.request.fingerprint }
         val blamed = (recentlyBroken.keys + present).toSet()
         recentlyBroken.clear()
         blamed.forEach { state.suspects.crashed(it, now) }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/Dispatcher.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/Dispatcher.kt
@@ -46,7 +46,7 @@
         else -> emptyList<GateEffect>().also { state.drop(call, notRun = true) }
     }
 
-    private fun suspectRuns(now: Long): Boolean = state.calls.values.any { it.isSent && isSuspect(it.request, now) }
+    private fun suspectRuns(now: Long): Boolean = state.sent.any { isSuspect(it.request, now) }
 
     private fun isSuspect(request: GateRequest, now: Long) = state.suspects.runsAlone(request.fingerprint, now)
 
@@ -56,6 +56,7 @@
             return state.end(call, RequestError(ErrorKind.DEADLINE_BEFORE_RUN, retryAfterMilliseconds = retryAfter))
         }
         call.sentAt = now
+        state.sent += call
         call.attempts++
         state.inFlight++
         return listOf(GateEffect.Dispatch(call.request))
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateState.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateState.kt
@@ -50,6 +50,9 @@
     private val shared = HashMap<String, Long>()
 
     val calls = HashMap<Long, GateCall>()
+
+    /** Calls at the server. */
+    val sent = LinkedHashSet<GateCall>()
     val queue = FairQueue()
     val once = OnceRegistry(configuration.repeatWindowMilliseconds)
     val slots = SlotLimit(configuration.limits.slots, coldStart())
@@ -103,6 +106,7 @@
     fun drop(call: GateCall, notRun: Boolean) {
         val request = call.request
         calls.remove(request.id)
+        sent.remove(call)
         call.members.keys.forEach(callOf::remove)
         queue.remove(request.id)
         request.coalesceKey?.let { shared.remove(it, request.id) }
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/control/ControlWorld.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/control/ControlWorld.kt
@@ -240,7 +240,7 @@
     }
 
     private companion object {
-        const val INSTANCES = 6
+        const val INSTANCES = 8
         const val FAULTY_MILLISECONDS = 20_000L
         const val HEALING_MILLISECONDS = 12_000L
     }
--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/Channels.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/Channels.kt
@@ -12,12 +12,12 @@
 import rhubarbspool.model.Address
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
 
 /** One channel for each peer. */
 class Channels(private val group: EventLoopGroup, private val pings: Boolean) {
     private class Entry(val channel: ManagedChannel) {
-        val misses = AtomicInteger()
+        @Volatile
+        var answeredAt = ProcessClock.monotonic()
     }
 
     private val entries = ConcurrentHashMap<Address, Entry>()
@@ -27,14 +27,23 @@
 
     /** Notes that a call over the channel to [address] was answered. */
     fun answered(address: Address) {
-        entries[address]?.misses?.set(0)
+        entries[address]?.answeredAt = ProcessClock.monotonic()
     }
 
-    /** Notes that a call over the channel to [address] got no answer in time; replaces a channel gone silent. */
-    fun missed(address: Address) {
-        val entry = entries[address] ?: return
-        val silent = entry.misses.incrementAndGet() >= MISSES
-        if (silent && entries.remove(address, entry)) entry.channel.shutdownNow()
+    /**
+     * Notes that a call over the channel to [address], made at [startedAt], got no answer in time. The channel is
+     * replaced only when it answered nothing since then, and not for a while: closing it cuts off every other call.
+     */
+    fun missed(address: Address, startedAt: Long) {
+        val answeredAt = entries[address]?.answeredAt ?: return
+        val silentSince = maxOf(answeredAt, startedAt)
+        val silent = answeredAt <= startedAt && ProcessClock.monotonic() - silentSince > SILENCE_MILLISECONDS
+        if (silent) replace(address)
+    }
+
+    /** Closes the channel to [address]; the next call opens a new one. */
+    fun replace(address: Address) {
+        entries.remove(address)?.channel?.shutdownNow()
     }
 
     /** Closes all channels. */
@@ -63,6 +72,6 @@
         /** Seconds between two pings of a connection in use. */
         const val PING_SECONDS: Long = 10
         private const val CONNECT_TIMEOUT_MILLISECONDS = 500
-        private const val MISSES = 3
+        private const val SILENCE_MILLISECONDS = 400L
     }
 }
--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/Daemon.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/Daemon.kt
@@ -4,6 +4,7 @@
  */
 package rhubarbspool.edge
 
+import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.system.exitProcess
@@ -18,6 +19,7 @@
 object DaemonLauncher {
     private const val EXIT_USAGE = 2
     private const val EXIT_SETTINGS = 3
+    private const val EXIT_START = 4
 
     /** Reads the settings and runs [start]; ends the process with a status when the settings are at fault. */
     fun launch(program: String, arguments: Array<String>, start: (DaemonSettings) -> Daemon) {
@@ -26,10 +28,17 @@
         if (!Files.isReadable(path)) fail(EXIT_USAGE, "$program: $file can't be read")
         DaemonSettings.read(Files.readString(path)).fold(
             { faults -> fail(EXIT_SETTINGS, faults.joinToString("\n") { "$file: $it" }) },
-            { settings -> stopOnSignal(start(settings)) },
+            { settings -> stopOnSignal(startOrFail(program, settings, start)) },
         )
     }
 
+    private fun startOrFail(program: String, settings: DaemonSettings, start: (DaemonSettings) -> Daemon): Daemon =
+        try {
+            start(settings)
+        } catch (exception: IOException) {
+            fail(EXIT_START, "$program: can't start: ${exception.message}: ${exception.cause?.message}")
+        }
+
     private fun stopOnSignal(daemon: Daemon) =
         Runtime.getRuntime().addShutdownHook(Thread({ daemon.stop() }, "planned-stop"))
 
--- /dev/null
+++ b/rhubarbspool-lab/src/main/kotlin/rhubarbspool/lab/LoadResult.kt
@@ -0,0 +1,54 @@
+/*
+ * What a load run saw.
+ */
+package rhubarbspool.lab
+
+import kotlinx.serialization.Serializable
+import org.HdrHistogram.Histogram
+
+/** Times in milliseconds over a set of measurements. */
+@Serializable
+internal data class Percentiles(
+    val count: Long,
+    val p50: Double,
+    val p99: Double,
+    val p999: Double,
+    val max: Double,
+) {
+    companion object {
+        private const val MEDIAN = 50.0
+        private const val NINETY_NINE = 99.0
+        private const val NINETY_NINE_NINE = 99.9
+        private const val MICROSECONDS = 1_000.0
+
+        /** Percentiles of [histogram], which holds microseconds. */
+        fun of(histogram: Histogram) = Percentiles(
+            histogram.totalCount,
+            histogram.getValueAtPercentile(MEDIAN) / MICROSECONDS,
+            histogram.getValueAtPercentile(NINETY_NINE) / MICROSECONDS,
+            histogram.getValueAtPercentile(NINETY_NINE_NINE) / MICROSECONDS,
+            histogram.maxValue / MICROSECONDS,
+        )
+    }
+}
+
+/** One kind of answer and how often it came. */
+@Serializable
+internal data class AnswerCount(val answer: String, val count: Long)
+
+/**
+ * Result of a load run.
+ *
+ * @property latency times of requests that were served.
+ * @property unserved for each key the longest time between two served requests.
+ * @property moved requests that were sent to another instance since theirs refused the connection.
+ */
+@Serializable
+internal data class LoadResult(
+    val sent: Long,
+    val served: Long,
+    val answers: List<AnswerCount>,
+    val latency: Percentiles,
+    val unserved: Percentiles,
+    val moved: Long,
+)
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/GateOrder.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/GateOrder.java
@@ -6,6 +6,10 @@
 package rhubarbspool.protocol;
 
 /**
+ * <pre>
+ * A gate that the router may use for remaining_milliseconds from when it sent the report that asked_at names.
+ * </pre>
+ *
  * Protobuf type {@code rhubarbspool.protocol.GateOrder}
  */
 @com.google.protobuf.Generated
@@ -341,6 +345,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * A gate that the router may use for remaining_milliseconds from when it sent the report that asked_at names.
+   * </pre>
+   *
    * Protobuf type {@code rhubarbspool.protocol.GateOrder}
    */
   public static final class Builder extends
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/LocalGrpc.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/LocalGrpc.java
@@ -19,7 +19,7 @@
       fullMethodName = SERVICE_NAME + '/' + "Synchronise",
       requestType = rhubarbspool.protocol.RouterReport.class,
       responseType = rhubarbspool.protocol.RouterOrders.class,
-      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+      methodType = io.grpc.MethodDescriptor.MethodType.BIDI_STREAMING)
   public static io.grpc.MethodDescriptor<rhubarbspool.protocol.RouterReport,
       rhubarbspool.protocol.RouterOrders> getSynchroniseMethod() {
     io.grpc.MethodDescriptor<rhubarbspool.protocol.RouterReport, rhubarbspool.protocol.RouterOrders> getSynchroniseMethod;
@@ -28,7 +28,7 @@
         if ((getSynchroniseMethod = LocalGrpc.getSynchroniseMethod) == null) {
           LocalGrpc.getSynchroniseMethod = getSynchroniseMethod =
               io.grpc.MethodDescriptor.<rhubarbspool.protocol.RouterReport, rhubarbspool.protocol.RouterOrders>newBuilder()
-              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setType(io.grpc.MethodDescriptor.MethodType.BIDI_STREAMING)
               .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Synchronise"))
               .setSampledToLocalTracing(true)
               .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
@@ -108,9 +108,9 @@
 
     /**
      */
-    default void synchronise(rhubarbspool.protocol.RouterReport request,
+    default io.grpc.stub.StreamObserver<rhubarbspool.protocol.RouterReport> synchronise(
         io.grpc.stub.StreamObserver<rhubarbspool.protocol.RouterOrders> responseObserver) {
-      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getSynchroniseMethod(), responseObserver);
+      return io.grpc.stub.ServerCalls.asyncUnimplementedStreamingCall(getSynchroniseMethod(), responseObserver);
     }
   }
 
@@ -143,10 +143,10 @@
 
     /**
      */
-    public void synchronise(rhubarbspool.protocol.RouterReport request,
+    public io.grpc.stub.StreamObserver<rhubarbspool.protocol.RouterReport> synchronise(
         io.grpc.stub.StreamObserver<rhubarbspool.protocol.RouterOrders> responseObserver) {
-      io.grpc.stub.ClientCalls.asyncUnaryCall(
-          getChannel().newCall(getSynchroniseMethod(), getCallOptions()), request, responseObserver);
+      return io.grpc.stub.ClientCalls.asyncBidiStreamingCall(
+          getChannel().newCall(getSynchroniseMethod(), getCallOptions()), responseObserver);
     }
   }
 
@@ -168,9 +168,11 @@
 
     /**
      */
-    public rhubarbspool.protocol.RouterOrders synchronise(rhubarbspool.protocol.RouterReport request) throws io.grpc.StatusException {
-      return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
-          getChannel(), getSynchroniseMethod(), getCallOptions(), request);
+    @io.grpc.ExperimentalApi("https://github.com/grpc/grpc-java/issues/10918")
+    public io.grpc.stub.BlockingClientCall<rhubarbspool.protocol.RouterReport, rhubarbspool.protocol.RouterOrders>
+        synchronise() {
+      return io.grpc.stub.ClientCalls.blockingBidiStreamingCall(
+          getChannel(), getSynchroniseMethod(), getCallOptions());
     }
   }
 
@@ -189,13 +191,6 @@
         io.grpc.Channel channel, io.grpc.CallOptions callOptions) {
       return new LocalBlockingStub(channel, callOptions);
     }
-
-    /**
-     */
-    public rhubarbspool.protocol.RouterOrders synchronise(rhubarbspool.protocol.RouterReport request) {
-      return io.grpc.stub.ClientCalls.blockingUnaryCall(
-          getChannel(), getSynchroniseMethod(), getCallOptions(), request);
-    }
   }
 
   /**
@@ -213,14 +208,6 @@
         io.grpc.Channel channel, io.grpc.CallOptions callOptions) {
       return new LocalFutureStub(channel, callOptions);
     }
-
-    /**
-     */
-    public com.google.common.util.concurrent.ListenableFuture<rhubarbspool.protocol.RouterOrders> synchronise(
-        rhubarbspool.protocol.RouterReport request) {
-      return io.grpc.stub.ClientCalls.futureUnaryCall(
-          getChannel().newCall(getSynchroniseMethod(), getCallOptions()), request);
-    }
   }
 
   private static final int METHODID_SYNCHRONISE = 0;
@@ -242,10 +229,6 @@
     @java.lang.SuppressWarnings("unchecked")
     public void invoke(Req request, io.grpc.stub.StreamObserver<Resp> responseObserver) {
       switch (methodId) {
-        case METHODID_SYNCHRONISE:
-          serviceImpl.synchronise((rhubarbspool.protocol.RouterReport) request,
-              (io.grpc.stub.StreamObserver<rhubarbspool.protocol.RouterOrders>) responseObserver);
-          break;
         default:
           throw new AssertionError();
       }
@@ -256,6 +239,9 @@
     public io.grpc.stub.StreamObserver<Req> invoke(
         io.grpc.stub.StreamObserver<Resp> responseObserver) {
       switch (methodId) {
+        case METHODID_SYNCHRONISE:
+          return (io.grpc.stub.StreamObserver<Req>) serviceImpl.synchronise(
+              (io.grpc.stub.StreamObserver<rhubarbspool.protocol.RouterOrders>) responseObserver);
         default:
           throw new AssertionError();
       }
@@ -266,7 +252,7 @@
     return io.grpc.ServerServiceDefinition.builder(getServiceDescriptor())
         .addMethod(
           getSynchroniseMethod(),
-          io.grpc.stub.ServerCalls.asyncUnaryCall(
+          io.grpc.stub.ServerCalls.asyncBidiStreamingCall(
             new MethodHandlers<
               rhubarbspool.protocol.RouterReport,
               rhubarbspool.protocol.RouterOrders>(
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/PeerGrpc.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/PeerGrpc.java
@@ -13,34 +13,34 @@
 
   // Static method descriptors that strictly reflect the proto.
   private static volatile io.grpc.MethodDescriptor<rhubarbspool.protocol.PromiseRequest,
-      rhubarbspool.protocol.PromiseReply> getPromiseMethod;
+      rhubarbspool.protocol.PromiseReply> getPromisesMethod;
 
   @io.grpc.stub.annotations.RpcMethod(
-      fullMethodName = SERVICE_NAME + '/' + "Promise",
+      fullMethodName = SERVICE_NAME + '/' + "Promises",
       requestType = rhubarbspool.protocol.PromiseRequest.class,
       responseType = rhubarbspool.protocol.PromiseReply.class,
-      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+      methodType = io.grpc.MethodDescriptor.MethodType.BIDI_STREAMING)
   public static io.grpc.MethodDescriptor<rhubarbspool.protocol.PromiseRequest,
-      rhubarbspool.protocol.PromiseReply> getPromiseMethod() {
-    io.grpc.MethodDescriptor<rhubarbspool.protocol.PromiseRequest, rhubarbspool.protocol.PromiseReply> getPromiseMethod;
-    if ((getPromiseMethod = PeerGrpc.getPromiseMethod) == null) {
+      rhubarbspool.protocol.PromiseReply> getPromisesMethod() {
+    io.grpc.MethodDescriptor<rhubarbspool.protocol.PromiseRequest, rhubarbspool.protocol.PromiseReply> getPromisesMethod;
+    if ((getPromisesMethod = PeerGrpc.getPromisesMethod) == null) {
       synchronized (PeerGrpc.class) {
-        if ((getPromiseMethod = PeerGrpc.getPromiseMethod) == null) {
-          PeerGrpc.getPromiseMethod = getPromiseMethod =
+        if ((getPromisesMethod = PeerGrpc.getPromisesMethod) == null) {
+          PeerGrpc.getPromisesMethod = getPromisesMethod =
               io.grpc.MethodDescriptor.<rhubarbspool.protocol.PromiseRequest, rhubarbspool.protocol.PromiseReply>newBuilder()
-              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
-              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Promise"))
+              .setType(io.grpc.MethodDescriptor.MethodType.BIDI_STREAMING)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Promises"))
               .setSampledToLocalTracing(true)
               .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
                   rhubarbspool.protocol.PromiseRequest.getDefaultInstance()))
               .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
                   rhubarbspool.protocol.PromiseReply.getDefaultInstance()))
-              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("Promise"))
+              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("Promises"))
               .build();
         }
       }
     }
-    return getPromiseMethod;
+    return getPromisesMethod;
   }
 
   private static volatile io.grpc.MethodDescriptor<rhubarbspool.protocol.ExchangeRequest,
@@ -263,9 +263,9 @@
 
     /**
      */
-    default void promise(rhubarbspool.protocol.PromiseRequest request,
+    default io.grpc.stub.StreamObserver<rhubarbspool.protocol.PromiseRequest> promises(
         io.grpc.stub.StreamObserver<rhubarbspool.protocol.PromiseReply> responseObserver) {
-      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getPromiseMethod(), responseObserver);
+      return io.grpc.stub.ServerCalls.asyncUnimplementedStreamingCall(getPromisesMethod(), responseObserver);
     }
 
     /**
@@ -333,10 +333,10 @@
 
     /**
      */
-    public void promise(rhubarbspool.protocol.PromiseRequest request,
+    public io.grpc.stub.StreamObserver<rhubarbspool.protocol.PromiseRequest> promises(
         io.grpc.stub.StreamObserver<rhubarbspool.protocol.PromiseReply> responseObserver) {
-      io.grpc.stub.ClientCalls.asyncUnaryCall(
-          getChannel().newCall(getPromiseMethod(), getCallOptions()), request, responseObserver);
+      return io.grpc.stub.ClientCalls.asyncBidiStreamingCall(
+          getChannel().newCall(getPromisesMethod(), getCallOptions()), responseObserver);
     }
 
     /**
@@ -398,9 +398,11 @@
 
     /**
      */
-    public rhubarbspool.protocol.PromiseReply promise(rhubarbspool.protocol.PromiseRequest request) throws io.grpc.StatusException {
-      return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
-          getChannel(), getPromiseMethod(), getCallOptions(), request);
+    @io.grpc.ExperimentalApi("https://github.com/grpc/grpc-java/issues/10918")
+    public io.grpc.stub.BlockingClientCall<rhubarbspool.protocol.PromiseRequest, rhubarbspool.protocol.PromiseReply>
+        promises() {
+      return io.grpc.stub.ClientCalls.blockingBidiStreamingCall(
+          getChannel(), getPromisesMethod(), getCallOptions());
     }
 
     /**
@@ -455,13 +457,6 @@
       return new PeerBlockingStub(channel, callOptions);
     }
 
-    /**
-     */
-    public rhubarbspool.protocol.PromiseReply promise(rhubarbspool.protocol.PromiseRequest request) {
-      return io.grpc.stub.ClientCalls.blockingUnaryCall(
-          getChannel(), getPromiseMethod(), getCallOptions(), request);
-    }
-
     /**
      */
     public rhubarbspool.protocol.ExchangeReply exchange(rhubarbspool.protocol.ExchangeRequest request) {
@@ -514,14 +509,6 @@
       return new PeerFutureStub(channel, callOptions);
     }
 
-    /**
-     */
-    public com.google.common.util.concurrent.ListenableFuture<rhubarbspool.protocol.PromiseReply> promise(
-        rhubarbspool.protocol.PromiseRequest request) {
-      return io.grpc.stub.ClientCalls.futureUnaryCall(
-          getChannel().newCall(getPromiseMethod(), getCallOptions()), request);
-    }
-
     /**
      */
     public com.google.common.util.concurrent.ListenableFuture<rhubarbspool.protocol.ExchangeReply> exchange(
@@ -563,12 +550,12 @@
     }
   }
 
-  private static final int METHODID_PROMISE = 0;
-  private static final int METHODID_EXCHANGE = 1;
-  private static final int METHODID_FETCH_ROWS = 2;
-  private static final int METHODID_PUSH = 3;
-  private static final int METHODID_FETCH_OBJECT = 4;
-  private static final int METHODID_STATUS = 5;
+  private static final int METHODID_EXCHANGE = 0;
+  private static final int METHODID_FETCH_ROWS = 1;
+  private static final int METHODID_PUSH = 2;
+  private static final int METHODID_FETCH_OBJECT = 3;
+  private static final int METHODID_STATUS = 4;
+  private static final int METHODID_PROMISES = 5;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -587,10 +574,6 @@
     @java.lang.SuppressWarnings("unchecked")
     public void invoke(Req request, io.grpc.stub.StreamObserver<Resp> responseObserver) {
       switch (methodId) {
-        case METHODID_PROMISE:
-          serviceImpl.promise((rhubarbspool.protocol.PromiseRequest) request,
-              (io.grpc.stub.StreamObserver<rhubarbspool.protocol.PromiseReply>) responseObserver);
-          break;
         case METHODID_EXCHANGE:
           serviceImpl.exchange((rhubarbspool.protocol.ExchangeRequest) request,
               (io.grpc.stub.StreamObserver<rhubarbspool.protocol.ExchangeReply>) responseObserver);
@@ -621,6 +604,9 @@
     public io.grpc.stub.StreamObserver<Req> invoke(
         io.grpc.stub.StreamObserver<Resp> responseObserver) {
       switch (methodId) {
+        case METHODID_PROMISES:
+          return (io.grpc.stub.StreamObserver<Req>) serviceImpl.promises(
+              (io.grpc.stub.StreamObserver<rhubarbspool.protocol.PromiseReply>) responseObserver);
         default:
           throw new AssertionError();
       }
@@ -630,12 +616,12 @@
   public static final io.grpc.ServerServiceDefinition bindService(AsyncService service) {
     return io.grpc.ServerServiceDefinition.builder(getServiceDescriptor())
         .addMethod(
-          getPromiseMethod(),
-          io.grpc.stub.ServerCalls.asyncUnaryCall(
+          getPromisesMethod(),
+          io.grpc.stub.ServerCalls.asyncBidiStreamingCall(
             new MethodHandlers<
               rhubarbspool.protocol.PromiseRequest,
               rhubarbspool.protocol.PromiseReply>(
-                service, METHODID_PROMISE)))
+                service, METHODID_PROMISES)))
         .addMethod(
           getExchangeMethod(),
           io.grpc.stub.ServerCalls.asyncUnaryCall(
@@ -719,7 +705,7 @@
         if (result == null) {
           serviceDescriptor = result = io.grpc.ServiceDescriptor.newBuilder(SERVICE_NAME)
               .setSchemaDescriptor(new PeerFileDescriptorSupplier())
-              .addMethod(getPromiseMethod())
+              .addMethod(getPromisesMethod())
               .addMethod(getExchangeMethod())
               .addMethod(getFetchRowsMethod())
               .addMethod(getPushMethod())
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/PromiseReply.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/PromiseReply.java
@@ -59,6 +59,28 @@
     return promised_;
   }
 
+  public static final int SENT_AT_FIELD_NUMBER = 2;
+  private long sentAt_ = 0L;
+  /**
+   * <code>int64 sent_at = 2;</code>
+   * @return The sentAt.
+   */
+  @java.lang.Override
+  public long getSentAt() {
+    return sentAt_;
+  }
+
+  public static final int REMOTE_FIELD_NUMBER = 3;
+  private boolean remote_ = false;
+  /**
+   * <code>bool remote = 3;</code>
+   * @return The remote.
+   */
+  @java.lang.Override
+  public boolean getRemote() {
+    return remote_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -76,6 +98,12 @@
     if (promised_ != false) {
       output.writeBool(1, promised_);
     }
+    if (sentAt_ != 0L) {
+      output.writeInt64(2, sentAt_);
+    }
+    if (remote_ != false) {
+      output.writeBool(3, remote_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -84,6 +112,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(1, promised_);
     }
+    if (sentAt_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(2, sentAt_);
+    }
+    if (remote_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, remote_);
+    }
     return size;
   }
   @java.lang.Override
@@ -110,6 +146,10 @@
 
     if (getPromised()
         != other.getPromised()) return false;
+    if (getSentAt()
+        != other.getSentAt()) return false;
+    if (getRemote()
+        != other.getRemote()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -124,6 +164,12 @@
     hash = (37 * hash) + PROMISED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getPromised());
+    hash = (37 * hash) + SENT_AT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentAt());
+    hash = (37 * hash) + REMOTE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRemote());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -256,6 +302,8 @@
       super.clear();
       bitField0_ = 0;
       promised_ = false;
+      sentAt_ = 0L;
+      remote_ = false;
       return this;
     }
 
@@ -292,6 +340,12 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.promised_ = promised_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.sentAt_ = sentAt_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.remote_ = remote_;
+      }
     }
 
     @java.lang.Override
@@ -309,6 +363,12 @@
       if (other.getPromised() != false) {
         setPromised(other.getPromised());
       }
+      if (other.getSentAt() != 0L) {
+        setSentAt(other.getSentAt());
+      }
+      if (other.getRemote() != false) {
+        setRemote(other.getRemote());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -338,6 +398,16 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 16: {
+              sentAt_ = input.readInt64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
+            case 24: {
+              remote_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -387,6 +457,70 @@
       return this;
     }
 
+    private long sentAt_ ;
+    /**
+     * <code>int64 sent_at = 2;</code>
+     * @return The sentAt.
+     */
+    @java.lang.Override
+    public long getSentAt() {
+      return sentAt_;
+    }
+    /**
+     * <code>int64 sent_at = 2;</code>
+     * @param value The sentAt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentAt(long value) {
+
+      sentAt_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 sent_at = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentAt() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      sentAt_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean remote_ ;
+    /**
+     * <code>bool remote = 3;</code>
+     * @return The remote.
+     */
+    @java.lang.Override
+    public boolean getRemote() {
+      return remote_;
+    }
+    /**
+     * <code>bool remote = 3;</code>
+     * @param value The remote to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRemote(boolean value) {
+
+      remote_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool remote = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRemote() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      remote_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:rhubarbspool.protocol.PromiseReply)
   }
 
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/PromiseReplyOrBuilder.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/PromiseReplyOrBuilder.java
@@ -15,4 +15,16 @@
    * @return The promised.
    */
   boolean getPromised();
+
+  /**
+   * <code>int64 sent_at = 2;</code>
+   * @return The sentAt.
+   */
+  long getSentAt();
+
+  /**
+   * <code>bool remote = 3;</code>
+   * @return The remote.
+   */
+  boolean getRemote();
 }
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/Rhubarbspool.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/Rhubarbspool.java
@@ -177,91 +177,93 @@
       "ol.Row\"\007\n\005Empty\"\214\001\n\016PromiseRequest\022\016\n\006ho" +
       "lder\030\001 \001(\t\022\022\n\ngeneration\030\002 \001(\003\022\016\n\006remote" +
       "\030\003 \001(\010\022\027\n\017unrecorded_runs\030\004 \001(\010\022\034\n\024succe" +
-      "ssor_generation\030\005 \001(\003\022\017\n\007sent_at\030\006 \001(\003\" " +
-      "\n\014PromiseReply\022\020\n\010promised\030\001 \001(\010\"\"\n\017Exch" +
-      "angeRequest\022\017\n\007buckets\030\001 \003(\006\"*\n\nRowVersi" +
-      "on\022\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\"W\n\rExch" +
-      "angeReply\022\021\n\tdiffering\030\001 \003(\005\0223\n\010versions" +
-      "\030\002 \003(\0132!.rhubarbspool.protocol.RowVersio" +
-      "n\" \n\020FetchRowsRequest\022\014\n\004keys\030\001 \003(\t\"\"\n\022F" +
-      "etchObjectRequest\022\014\n\004hash\030\001 \001(\t\"/\n\020Fetch" +
-      "ObjectReply\022\r\n\005found\030\001 \001(\010\022\014\n\004body\030\002 \001(\014" +
-      "\"\017\n\rStatusRequest\"8\n\024ConfigurationInForc" +
-      "e\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n\013" +
-      "StatusReply\022\020\n\010instance\030\001 \001(\t\022\022\n\ngenerat" +
-      "ion\030\002 \001(\003\022\023\n\013lease_valid\030\003 \001(\010\022\031\n\021comple" +
-      "te_revision\030\004 \001(\003\022\036\n\026table_age_milliseco" +
-      "nds\030\005 \001(\003\022C\n\016configurations\030\006 \003(\0132+.rhub" +
-      "arbspool.protocol.ConfigurationInForce\022\r" +
-      "\n\005gates\030\007 \003(\t\022\030\n\020router_connected\030\010 \001(\010\"" +
-      "\323\003\n\014RouterReport\022\022\n\nrouter_run\030\001 \001(\t\022\025\n\r" +
-      "view_sequence\030\002 \001(\003\022\026\n\016controller_run\030\003 " +
-      "\001(\003\0226\n\016released_gates\030\004 \003(\0132\036.rhubarbspo" +
-      "ol.protocol.Release\0227\n\017released_shards\030\005" +
-      " \003(\0132\036.rhubarbspool.protocol.Release\0224\n\007" +
-      "servers\030\006 \003(\0132#.rhubarbspool.protocol.Se" +
-      "rverReport\0223\n\007crashes\030\007 \003(\0132\".rhubarbspo" +
-      "ol.protocol.CrashReport\0225\n\010hot_keys\030\010 \003(" +
-      "\0132#.rhubarbspool.protocol.HotKeyReport\022\027" +
-      "\n\017unrecorded_runs\030\t \001(\010\022\017\n\007leaving\030\n \001(\010" +
-      "\022C\n\016configurations\030\013 \003(\0132+.rhubarbspool." +
-      "protocol.ConfigurationInForce\")\n\007Release" +
-      "\022\017\n\007subject\030\001 \001(\t\022\r\n\005order\030\002 \001(\003\"1\n\014Serv" +
-      "erReport\022\016\n\006server\030\001 \001(\t\022\021\n\treachable\030\002 " +
-      "\001(\010\"3\n\013CrashReport\022\017\n\007service\030\001 \001(\t\022\023\n\013f" +
-      "ingerprint\030\002 \001(\t\"<\n\014HotKeyReport\022\017\n\007serv" +
-      "ice\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\016\n\006server\030\003 \001(\t\"\205" +
-      "\001\n\tGateOrder\022\016\n\006server\030\001 \001(\t\022\r\n\005epoch\030\002 " +
-      "\001(\003\022\036\n\026remaining_milliseconds\030\003 \001(\003\022\025\n\rr" +
-      "elease_order\030\004 \001(\003\022\"\n\032suspect_until_mill" +
-      "iseconds\030\005 \001(\003\"\360\002\n\014RouterOrders\022\026\n\016contr" +
-      "oller_run\030\001 \001(\003\022\025\n\rview_sequence\030\002 \001(\003\022\014" +
-      "\n\004full\030\003 \001(\010\022(\n\004rows\030\004 \003(\0132\032.rhubarbspoo" +
-      "l.protocol.Row\022/\n\005gates\030\005 \003(\0132 .rhubarbs" +
-      "pool.protocol.GateOrder\0226\n\016release_shard" +
-      "s\030\006 \003(\0132\036.rhubarbspool.protocol.Release\022" +
-      "D\n\016configurations\030\010 \003(\0132,.rhubarbspool.p" +
-      "rotocol.ConfigurationDocument\022\031\n\021complet" +
-      "e_revision\030\t \001(\003\022\032\n\022unrecorded_allowed\030\n" +
-      " \001(\010\022\r\n\005phase\030\013 \001(\tJ\004\010\007\020\010\"G\n\025Configurati" +
-      "onDocument\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002" +
-      " \001(\003\022\014\n\004body\030\003 \001(\014\"*\n\013HeaderField\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\213\002\n\016ForwardReques" +
-      "t\022\017\n\007service\030\001 \001(\t\022\r\n\005route\030\002 \001(\t\022\013\n\003key" +
-      "\030\003 \001(\t\022\016\n\006server\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\016" +
-      "\n\006target\030\006 \001(\t\0223\n\007headers\030\007 \003(\0132\".rhubar" +
-      "bspool.protocol.HeaderField\022\014\n\004body\030\010 \001(" +
-      "\014\022\016\n\006caller\030\t \001(\t\022\022\n\nrequest_id\030\n \001(\t\022\036\n" +
-      "\026remaining_milliseconds\030\013 \001(\003\022\025\n\rfirst_a" +
-      "ttempt\030\014 \001(\010\"b\n\013ForwardHead\022\016\n\006status\030\001 " +
-      "\001(\005\0223\n\007headers\030\002 \003(\0132\".rhubarbspool.prot" +
-      "ocol.HeaderField\022\016\n\006server\030\003 \001(\t\"g\n\016Forw" +
-      "ardRefusal\022\022\n\nerror_kind\030\001 \001(\t\022\016\n\006detail" +
-      "\030\002 \001(\t\022 \n\030retry_after_milliseconds\030\003 \001(\003" +
-      "\022\017\n\007certain\030\004 \001(\010\"\250\001\n\014ForwardChunk\0222\n\004he" +
-      "ad\030\001 \001(\0132\".rhubarbspool.protocol.Forward" +
-      "HeadH\000\022\016\n\004body\030\002 \001(\014H\000\022\022\n\010complete\030\003 \001(\010" +
-      "H\000\0228\n\007refusal\030\004 \001(\0132%.rhubarbspool.proto" +
-      "col.ForwardRefusalH\000B\006\n\004part2\214\004\n\004Peer\022U\n" +
-      "\007Promise\022%.rhubarbspool.protocol.Promise" +
-      "Request\032#.rhubarbspool.protocol.PromiseR" +
-      "eply\022X\n\010Exchange\022&.rhubarbspool.protocol" +
-      ".ExchangeRequest\032$.rhubarbspool.protocol" +
-      ".ExchangeReply\022U\n\tFetchRows\022\'.rhubarbspo" +
-      "ol.protocol.FetchRowsRequest\032\037.rhubarbsp" +
-      "ool.protocol.RowBatch\022E\n\004Push\022\037.rhubarbs" +
-      "pool.protocol.RowBatch\032\034.rhubarbspool.pr" +
-      "otocol.Empty\022a\n\013FetchObject\022).rhubarbspo" +
-      "ol.protocol.FetchObjectRequest\032\'.rhubarb" +
-      "spool.protocol.FetchObjectReply\022R\n\006Statu" +
-      "s\022$.rhubarbspool.protocol.StatusRequest\032" +
-      "\".rhubarbspool.protocol.StatusReply2`\n\005L" +
-      "ocal\022W\n\013Synchronise\022#.rhubarbspool.proto" +
-      "col.RouterReport\032#.rhubarbspool.protocol" +
-      ".RouterOrders2_\n\004Gate\022W\n\007Forward\022%.rhuba" +
-      "rbspool.protocol.ForwardRequest\032#.rhubar" +
-      "bspool.protocol.ForwardChunk0\001B\031\n\025rhubar" +
-      "bspool.protocolP\001b\006proto3"
+      "ssor_generation\030\005 \001(\003\022\017\n\007sent_at\030\006 \001(\003\"A" +
+      "\n\014PromiseReply\022\020\n\010promised\030\001 \001(\010\022\017\n\007sent" +
+      "_at\030\002 \001(\003\022\016\n\006remote\030\003 \001(\010\"\"\n\017ExchangeReq" +
+      "uest\022\017\n\007buckets\030\001 \003(\006\"*\n\nRowVersion\022\013\n\003k" +
+      "ey\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\"W\n\rExchangeRep" +
+      "ly\022\021\n\tdiffering\030\001 \003(\005\0223\n\010versions\030\002 \003(\0132" +
+      "!.rhubarbspool.protocol.RowVersion\" \n\020Fe" +
+      "tchRowsRequest\022\014\n\004keys\030\001 \003(\t\"\"\n\022FetchObj" +
+      "ectRequest\022\014\n\004hash\030\001 \001(\t\"/\n\020FetchObjectR" +
+      "eply\022\r\n\005found\030\001 \001(\010\022\014\n\004body\030\002 \001(\014\"\017\n\rSta" +
+      "tusRequest\"8\n\024ConfigurationInForce\022\017\n\007se" +
+      "rvice\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n\013StatusR" +
+      "eply\022\020\n\010instance\030\001 \001(\t\022\022\n\ngeneration\030\002 \001" +
+      "(\003\022\023\n\013lease_valid\030\003 \001(\010\022\031\n\021complete_revi" +
+      "sion\030\004 \001(\003\022\036\n\026table_age_milliseconds\030\005 \001" +
+      "(\003\022C\n\016configurations\030\006 \003(\0132+.rhubarbspoo" +
+      "l.protocol.ConfigurationInForce\022\r\n\005gates" +
+      "\030\007 \003(\t\022\030\n\020router_connected\030\010 \001(\010\"\345\003\n\014Rou" +
+      "terReport\022\022\n\nrouter_run\030\001 \001(\t\022\025\n\rview_se" +
+      "quence\030\002 \001(\003\022\026\n\016controller_run\030\003 \001(\003\0226\n\016" +
+      "released_gates\030\004 \003(\0132\036.rhubarbspool.prot" +
+      "ocol.Release\0227\n\017released_shards\030\005 \003(\0132\036." +
+      "rhubarbspool.protocol.Release\0224\n\007servers" +
+      "\030\006 \003(\0132#.rhubarbspool.protocol.ServerRep" +
+      "ort\0223\n\007crashes\030\007 \003(\0132\".rhubarbspool.prot" +
+      "ocol.CrashReport\0225\n\010hot_keys\030\010 \003(\0132#.rhu" +
+      "barbspool.protocol.HotKeyReport\022\027\n\017unrec" +
+      "orded_runs\030\t \001(\010\022\017\n\007leaving\030\n \001(\010\022\020\n\010ask" +
+      "ed_at\030\014 \001(\003\022C\n\016configurations\030\013 \003(\0132+.rh" +
+      "ubarbspool.protocol.ConfigurationInForce" +
+      "\")\n\007Release\022\017\n\007subject\030\001 \001(\t\022\r\n\005order\030\002 " +
+      "\001(\003\"1\n\014ServerReport\022\016\n\006server\030\001 \001(\t\022\021\n\tr" +
+      "eachable\030\002 \001(\010\"3\n\013CrashReport\022\017\n\007service" +
+      "\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001(\t\"<\n\014HotKeyRep" +
+      "ort\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\016\n\006ser" +
+      "ver\030\003 \001(\t\"\205\001\n\tGateOrder\022\016\n\006server\030\001 \001(\t\022" +
+      "\r\n\005epoch\030\002 \001(\003\022\036\n\026remaining_milliseconds" +
+      "\030\003 \001(\003\022\025\n\rrelease_order\030\004 \001(\003\022\"\n\032suspect" +
+      "_until_milliseconds\030\005 \001(\003\"\202\003\n\014RouterOrde" +
+      "rs\022\026\n\016controller_run\030\001 \001(\003\022\025\n\rview_seque" +
+      "nce\030\002 \001(\003\022\014\n\004full\030\003 \001(\010\022(\n\004rows\030\004 \003(\0132\032." +
+      "rhubarbspool.protocol.Row\022/\n\005gates\030\005 \003(\013" +
+      "2 .rhubarbspool.protocol.GateOrder\0226\n\016re" +
+      "lease_shards\030\006 \003(\0132\036.rhubarbspool.protoc" +
+      "ol.Release\022D\n\016configurations\030\010 \003(\0132,.rhu" +
+      "barbspool.protocol.ConfigurationDocument" +
+      "\022\031\n\021complete_revision\030\t \001(\003\022\032\n\022unrecorde" +
+      "d_allowed\030\n \001(\010\022\r\n\005phase\030\013 \001(\t\022\020\n\010asked_" +
+      "at\030\014 \001(\003J\004\010\007\020\010\"G\n\025ConfigurationDocument\022" +
+      "\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\014\n\004bod" +
+      "y\030\003 \001(\014\"*\n\013HeaderField\022\014\n\004name\030\001 \001(\t\022\r\n\005" +
+      "value\030\002 \001(\t\"\213\002\n\016ForwardRequest\022\017\n\007servic" +
+      "e\030\001 \001(\t\022\r\n\005route\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\022\016\n\006s" +
+      "erver\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\016\n\006target\030\006 " +
+      "\001(\t\0223\n\007headers\030\007 \003(\0132\".rhubarbspool.prot" +
+      "ocol.HeaderField\022\014\n\004body\030\010 \001(\014\022\016\n\006caller" +
+      "\030\t \001(\t\022\022\n\nrequest_id\030\n \001(\t\022\036\n\026remaining_" +
+      "milliseconds\030\013 \001(\003\022\025\n\rfirst_attempt\030\014 \001(" +
+      "\010\"b\n\013ForwardHead\022\016\n\006status\030\001 \001(\005\0223\n\007head" +
+      "ers\030\002 \003(\0132\".rhubarbspool.protocol.Header" +
+      "Field\022\016\n\006server\030\003 \001(\t\"g\n\016ForwardRefusal\022" +
+      "\022\n\nerror_kind\030\001 \001(\t\022\016\n\006detail\030\002 \001(\t\022 \n\030r" +
+      "etry_after_milliseconds\030\003 \001(\003\022\017\n\007certain" +
+      "\030\004 \001(\010\"\250\001\n\014ForwardChunk\0222\n\004head\030\001 \001(\0132\"." +
+      "rhubarbspool.protocol.ForwardHeadH\000\022\016\n\004b" +
+      "ody\030\002 \001(\014H\000\022\022\n\010complete\030\003 \001(\010H\000\0228\n\007refus" +
+      "al\030\004 \001(\0132%.rhubarbspool.protocol.Forward" +
+      "RefusalH\000B\006\n\004part2\221\004\n\004Peer\022Z\n\010Promises\022%" +
+      ".rhubarbspool.protocol.PromiseRequest\032#." +
+      "rhubarbspool.protocol.PromiseReply(\0010\001\022X" +
+      "\n\010Exchange\022&.rhubarbspool.protocol.Excha" +
+      "ngeRequest\032$.rhubarbspool.protocol.Excha" +
+      "ngeReply\022U\n\tFetchRows\022\'.rhubarbspool.pro" +
+      "tocol.FetchRowsRequest\032\037.rhubarbspool.pr" +
+      "otocol.RowBatch\022E\n\004Push\022\037.rhubarbspool.p" +
+      "rotocol.RowBatch\032\034.rhubarbspool.protocol" +
+      ".Empty\022a\n\013FetchObject\022).rhubarbspool.pro" +
+      "tocol.FetchObjectRequest\032\'.rhubarbspool." +
+      "protocol.FetchObjectReply\022R\n\006Status\022$.rh" +
+      "ubarbspool.protocol.StatusRequest\032\".rhub" +
+      "arbspool.protocol.StatusReply2d\n\005Local\022[" +
+      "\n\013Synchronise\022#.rhubarbspool.protocol.Ro" +
+      "uterReport\032#.rhubarbspool.protocol.Route" +
+      "rOrders(\0010\0012_\n\004Gate\022W\n\007Forward\022%.rhubarb" +
+      "spool.protocol.ForwardRequest\032#.rhubarbs" +
+      "pool.protocol.ForwardChunk0\001B\031\n\025rhubarbs" +
+      "pool.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -296,7 +298,7 @@
     internal_static_rhubarbspool_protocol_PromiseReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_rhubarbspool_protocol_PromiseReply_descriptor,
-        new java.lang.String[] { "Promised", });
+        new java.lang.String[] { "Promised", "SentAt", "Remote", });
     internal_static_rhubarbspool_protocol_ExchangeRequest_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_rhubarbspool_protocol_ExchangeRequest_fieldAccessorTable = new
@@ -356,7 +358,7 @@
     internal_static_rhubarbspool_protocol_RouterReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_rhubarbspool_protocol_RouterReport_descriptor,
-        new java.lang.String[] { "RouterRun", "ViewSequence", "ControllerRun", "ReleasedGates", "ReleasedShards", "Servers", "Crashes", "HotKeys", "UnrecordedRuns", "Leaving", "Configurations", });
+        new java.lang.String[] { "RouterRun", "ViewSequence", "ControllerRun", "ReleasedGates", "ReleasedShards", "Servers", "Crashes", "HotKeys", "UnrecordedRuns", "Leaving", "AskedAt", "Configurations", });
     internal_static_rhubarbspool_protocol_Release_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_rhubarbspool_protocol_Release_fieldAccessorTable = new
@@ -392,7 +394,7 @@
     internal_static_rhubarbspool_protocol_RouterOrders_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_rhubarbspool_protocol_RouterOrders_descriptor,
-        new java.lang.String[] { "ControllerRun", "ViewSequence", "Full", "Rows", "Gates", "ReleaseShards", "Configurations", "CompleteRevision", "UnrecordedAllowed", "Phase", });
+        new java.lang.String[] { "ControllerRun", "ViewSequence", "Full", "Rows", "Gates", "ReleaseShards", "Configurations", "CompleteRevision", "UnrecordedAllowed", "Phase", "AskedAt", });
     internal_static_rhubarbspool_protocol_ConfigurationDocument_descriptor =
       getDescriptor().getMessageType(21);
     internal_static_rhubarbspool_protocol_ConfigurationDocument_fieldAccessorTable = new
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/RouterOrders.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/RouterOrders.java
@@ -311,6 +311,17 @@
     }
   }
 
+  public static final int ASKED_AT_FIELD_NUMBER = 12;
+  private long askedAt_ = 0L;
+  /**
+   * <code>int64 asked_at = 12;</code>
+   * @return The askedAt.
+   */
+  @java.lang.Override
+  public long getAskedAt() {
+    return askedAt_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -355,6 +366,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(phase_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 11, phase_);
     }
+    if (askedAt_ != 0L) {
+      output.writeInt64(12, askedAt_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -418,6 +432,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(phase_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(11, phase_);
     }
+    if (askedAt_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(12, askedAt_);
+    }
     return size;
   }
   @java.lang.Override
@@ -462,6 +480,8 @@
         != other.getUnrecordedAllowed()) return false;
     if (!getPhase()
         .equals(other.getPhase())) return false;
+    if (getAskedAt()
+        != other.getAskedAt()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -506,6 +526,9 @@
         getUnrecordedAllowed());
     hash = (37 * hash) + PHASE_FIELD_NUMBER;
     hash = (53 * hash) + getPhase().hashCode();
+    hash = (37 * hash) + ASKED_AT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAskedAt());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -671,6 +694,7 @@
       completeRevision_ = 0L;
       unrecordedAllowed_ = false;
       phase_ = "";
+      askedAt_ = 0L;
       return this;
     }
 
@@ -762,6 +786,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.phase_ = phase_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.askedAt_ = askedAt_;
+      }
     }
 
     @java.lang.Override
@@ -900,6 +927,9 @@
         bitField0_ |= 0x00000200;
         onChanged();
       }
+      if (other.getAskedAt() != 0L) {
+        setAskedAt(other.getAskedAt());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1006,6 +1036,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 90
+            case 96: {
+              askedAt_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2191,6 +2226,38 @@
       return this;
     }
 
+    private long askedAt_ ;
+    /**
+     * <code>int64 asked_at = 12;</code>
+     * @return The askedAt.
+     */
+    @java.lang.Override
+    public long getAskedAt() {
+      return askedAt_;
+    }
+    /**
+     * <code>int64 asked_at = 12;</code>
+     * @param value The askedAt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAskedAt(long value) {
+
+      askedAt_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 asked_at = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAskedAt() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      askedAt_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:rhubarbspool.protocol.RouterOrders)
   }
 
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/RouterOrdersOrBuilder.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/RouterOrdersOrBuilder.java
@@ -147,4 +147,10 @@
    */
   com.google.protobuf.ByteString
       getPhaseBytes();
+
+  /**
+   * <code>int64 asked_at = 12;</code>
+   * @return The askedAt.
+   */
+  long getAskedAt();
 }
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/RouterReport.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/RouterReport.java
@@ -347,6 +347,17 @@
     return leaving_;
   }
 
+  public static final int ASKED_AT_FIELD_NUMBER = 12;
+  private long askedAt_ = 0L;
+  /**
+   * <code>int64 asked_at = 12;</code>
+   * @return The askedAt.
+   */
+  @java.lang.Override
+  public long getAskedAt() {
+    return askedAt_;
+  }
+
   public static final int CONFIGURATIONS_FIELD_NUMBER = 11;
   @SuppressWarnings("serial")
   private java.util.List<rhubarbspool.protocol.ConfigurationInForce> configurations_;
@@ -435,6 +446,9 @@
     for (int i = 0; i < configurations_.size(); i++) {
       output.writeMessage(11, configurations_.get(i));
     }
+    if (askedAt_ != 0L) {
+      output.writeInt64(12, askedAt_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -512,6 +526,10 @@
           }
           size += 1 * count;
         }
+    if (askedAt_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(12, askedAt_);
+    }
     return size;
   }
   @java.lang.Override
@@ -556,6 +574,8 @@
         != other.getUnrecordedRuns()) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (getAskedAt()
+        != other.getAskedAt()) return false;
     if (!getConfigurationsList()
         .equals(other.getConfigurationsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -603,6 +623,9 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    hash = (37 * hash) + ASKED_AT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAskedAt());
     if (getConfigurationsCount() > 0) {
       hash = (37 * hash) + CONFIGURATIONS_FIELD_NUMBER;
       hash = (53 * hash) + getConfigurationsList().hashCode();
@@ -782,13 +805,14 @@
       bitField0_ = (bitField0_ & ~0x00000080);
       unrecordedRuns_ = false;
       leaving_ = false;
+      askedAt_ = 0L;
       if (configurationsBuilder_ == null) {
         configurations_ = java.util.Collections.emptyList();
       } else {
         configurations_ = null;
         configurationsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000400);
+      bitField0_ = (bitField0_ & ~0x00000800);
       return this;
     }
 
@@ -868,9 +892,9 @@
         result.hotKeys_ = hotKeysBuilder_.build();
       }
       if (configurationsBuilder_ == null) {
-        if (((bitField0_ & 0x00000400) != 0)) {
+        if (((bitField0_ & 0x00000800) != 0)) {
           configurations_ = java.util.Collections.unmodifiableList(configurations_);
-          bitField0_ = (bitField0_ & ~0x00000400);
+          bitField0_ = (bitField0_ & ~0x00000800);
         }
         result.configurations_ = configurations_;
       } else {
@@ -895,6 +919,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.leaving_ = leaving_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.askedAt_ = askedAt_;
+      }
     }
 
     @java.lang.Override
@@ -1056,11 +1083,14 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (other.getAskedAt() != 0L) {
+        setAskedAt(other.getAskedAt());
+      }
       if (configurationsBuilder_ == null) {
         if (!other.configurations_.isEmpty()) {
           if (configurations_.isEmpty()) {
             configurations_ = other.configurations_;
-            bitField0_ = (bitField0_ & ~0x00000400);
+            bitField0_ = (bitField0_ & ~0x00000800);
           } else {
             ensureConfigurationsIsMutable();
             configurations_.addAll(other.configurations_);
@@ -1073,7 +1103,7 @@
             configurationsBuilder_.dispose();
             configurationsBuilder_ = null;
             configurations_ = other.configurations_;
-            bitField0_ = (bitField0_ & ~0x00000400);
+            bitField0_ = (bitField0_ & ~0x00000800);
             configurationsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetConfigurationsFieldBuilder() : null;
@@ -1209,6 +1239,11 @@
               }
               break;
             } // case 90
+            case 96: {
+              askedAt_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2596,12 +2631,44 @@
       return this;
     }
 
+    private long askedAt_ ;
+    /**
+     * <code>int64 asked_at = 12;</code>
+     * @return The askedAt.
+     */
+    @java.lang.Override
+    public long getAskedAt() {
+      return askedAt_;
+    }
+    /**
+     * <code>int64 asked_at = 12;</code>
+     * @param value The askedAt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAskedAt(long value) {
+
+      askedAt_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 asked_at = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAskedAt() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      askedAt_ = 0L;
+      onChanged();
+      return this;
+    }
+
     private java.util.List<rhubarbspool.protocol.ConfigurationInForce> configurations_ =
       java.util.Collections.emptyList();
     private void ensureConfigurationsIsMutable() {
-      if (!((bitField0_ & 0x00000400) != 0)) {
+      if (!((bitField0_ & 0x00000800) != 0)) {
         configurations_ = new java.util.ArrayList<rhubarbspool.protocol.ConfigurationInForce>(configurations_);
-        bitField0_ |= 0x00000400;
+        bitField0_ |= 0x00000800;
        }
     }
 
@@ -2745,7 +2812,7 @@
     public Builder clearConfigurations() {
       if (configurationsBuilder_ == null) {
         configurations_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000400);
+        bitField0_ = (bitField0_ & ~0x00000800);
         onChanged();
       } else {
         configurationsBuilder_.clear();
@@ -2822,7 +2889,7 @@
         configurationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             rhubarbspool.protocol.ConfigurationInForce, rhubarbspool.protocol.ConfigurationInForce.Builder, rhubarbspool.protocol.ConfigurationInForceOrBuilder>(
                 configurations_,
-                ((bitField0_ & 0x00000400) != 0),
+                ((bitField0_ & 0x00000800) != 0),
                 getParentForChildren(),
                 isClean());
         configurations_ = null;
--- a/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/RouterReportOrBuilder.java
+++ b/rhubarbspool-protocol/src/main/java/rhubarbspool/protocol/RouterReportOrBuilder.java
@@ -166,6 +166,12 @@
    */
   boolean getLeaving();
 
+  /**
+   * <code>int64 asked_at = 12;</code>
+   * @return The askedAt.
+   */
+  long getAskedAt();
+
   /**
    * <code>repeated .rhubarbspool.protocol.ConfigurationInForce configurations = 11;</code>
    */
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerEntry.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerEntry.kt
@@ -32,6 +32,7 @@
 internal class CallerEntry(
     private val context: RouterContext,
     private val flow: RequestFlow,
+    private val lag: LoopLag,
 ) {
     /** Whether the instance is being stopped, so that connections are closed after their next answer. */
     var isStopping: Boolean = false
@@ -42,10 +43,12 @@
     /** Matches the head of a request from [peer]. */
     fun accept(request: HttpRequest, peer: String): Either<RequestError, AcceptedHead> =
         checkExpectation(request)
+            .flatMap { checkLoad() }
             .flatMap { context.view.routes.match(request.method().name(), request.uri()) }
             .flatMap { checkLength(request, it) }
             .flatMap { checkRequestId(request, it) }
             .map { head(request, it, peer) }
+            .mapLeft { if (request.headers()[REQUEST_ID] == null) it else it.forOnceOnly(isFirst(request)) }
 
     /** Starts a whole request. */
     fun start(request: IncomingRequest, sink: AnswerSink): Ticket = flow.start(request, sink)
@@ -56,6 +59,13 @@
         return if (known) Unit.right() else RequestError(ErrorKind.EXPECTATION_FAILED).left()
     }
 
+    private fun isFirst(request: HttpRequest) = request.headers()[ATTEMPT] == "1"
+
+    private fun checkLoad(): Either<RequestError, Unit> {
+        val overloaded = RequestError(ErrorKind.INSTANCE_OVERLOADED, retryAfterMilliseconds = OVERLOAD_MILLISECONDS)
+        return if (lag.isExcessive) overloaded.left() else Unit.right()
+    }
+
     private fun checkLength(request: HttpRequest, match: RouteMatch): Either<RequestError, RouteMatch> {
         val tooLong = HttpUtil.getContentLength(request, 0L) > match.configuration.limits.requestBodyBytes
         return if (tooLong) RequestError(ErrorKind.BODY_TOO_LARGE).left() else match.right()
@@ -75,7 +85,7 @@
             match,
             passedOn.map { Header(it.key, it.value) },
             caller = request.headers()[CALLER] ?: peer,
-            attempt = Attempt(request.headers()[REQUEST_ID], request.headers()[ATTEMPT] == "1"),
+            attempt = Attempt(request.headers()[REQUEST_ID], isFirst(request)),
             deadlineAt = ProcessClock.monotonic() + allowed,
         )
     }
@@ -83,6 +93,7 @@
     private companion object {
         const val REQUEST_ID = "idempotency-key"
         const val ATTEMPT = "rhubarbspool-attempt"
+        const val OVERLOAD_MILLISECONDS = 1_000L
         const val CALLER = "rhubarbspool-caller"
         const val DEADLINE = "rhubarbspool-deadline-milliseconds"
         val REQUEST_ID_SHAPE = Regex("[A-Za-z0-9._:-]{1,128}")
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ControllerLink.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ControllerLink.kt
@@ -4,7 +4,7 @@
  */
 package rhubarbspool.router
 
-import com.google.common.util.concurrent.ListenableFuture
+import io.grpc.stub.StreamObserver
 import io.netty.channel.EventLoop
 import rhubarbspool.edge.Channels
 import rhubarbspool.edge.ProcessClock
@@ -13,7 +13,6 @@
 import rhubarbspool.protocol.LocalGrpc
 import rhubarbspool.protocol.RouterOrders
 import rhubarbspool.protocol.RouterReport
-import java.util.concurrent.ExecutionException
 import java.util.concurrent.TimeUnit
 
 /** Asks [controller] on [loop]; [report] adds what the router has to say, [applied] follows each answer. */
@@ -25,39 +24,55 @@
     private val report: (RouterReport.Builder) -> Unit,
     private val applied: () -> Unit,
 ) {
-    /** Starts to ask. */
-    fun start() = ask()
+    private var reports: StreamObserver<RouterReport>? = null
+    private var answeredAt = ProcessClock.monotonic()
+
+    /** Starts to report. */
+    fun start() {
+        loop.scheduleWithFixedDelay(::ask, 0, INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
+    }
 
     private fun ask() {
-        val askedAt = ProcessClock.monotonic()
+        val now = ProcessClock.monotonic()
+        if (now - answeredAt > SILENCE_MILLISECONDS) reopen()
+        val stream = reports ?: LocalGrpc.newStub(channels.channel(controller)).synchronise(Orders())
+            .also {
+                reports = it
+                answeredAt = now
+            }
         val builder = RouterReport.newBuilder()
             .setViewSequence(view.sequence)
             .setControllerRun(view.controllerRun)
+            .setAskedAt(now)
             .addAllConfigurations(
                 view.configurations.map { (service, numbered) ->
                     ConfigurationInForce.newBuilder().setService(service.text).setVersion(numbered.number).build()
                 },
             )
         report(builder)
-        val stub = LocalGrpc.newFutureStub(channels.channel(controller))
-            .withDeadlineAfter(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
-        val future = stub.synchronise(builder.build())
-        future.addListener({ loop.execute { answered(future, askedAt) } }, Runnable::run)
+        stream.onNext(builder.build())
+    }
+
+    /** The connection went silent, for longer than any permission lasts. */
+    private fun reopen() {
+        reports = null
+        channels.replace(controller)
     }
 
-    private fun answered(future: ListenableFuture<RouterOrders>, askedAt: Long) {
-        try {
-            view.apply(future.get(), askedAt)
-            channels.answered(controller)
+    private inner class Orders : StreamObserver<RouterOrders> {
+        override fun onNext(orders: RouterOrders) = loop.execute {
+            answeredAt = ProcessClock.monotonic()
+            view.apply(orders, orders.askedAt)
             applied()
-        } catch (_: ExecutionException) {
-            channels.missed(controller)
         }
-        loop.schedule(::ask, INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
+
+        override fun onError(failure: Throwable) = loop.execute { reports = null }
+
+        override fun onCompleted() = loop.execute { reports = null }
     }
 
     private companion object {
-        const val INTERVAL_MILLISECONDS = 50L
-        const val TIMEOUT_MILLISECONDS = 500L
+        const val INTERVAL_MILLISECONDS = 100L
+        const val SILENCE_MILLISECONDS = 1_500L
     }
 }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardClient.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ForwardClient.kt
@@ -85,6 +85,7 @@
         private val reach: ReachListener,
     ) : ClientResponseObserver<ForwardRequest, ForwardChunk> {
         private lateinit var stream: ClientCallStreamObserver<ForwardRequest>
+        private val startedAt = ProcessClock.monotonic()
         private var began = false
         private var finished = false
 
@@ -118,7 +119,7 @@
         }
 
         override fun onError(failure: Throwable) {
-            if (!began) channels.missed(router)
+            if (!began) channels.missed(router, startedAt)
             if (finished) return
             if (!began) reach.reached(false)
             finish { if (began) sink.abort() else sink.refuse(unreachable()) }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RequestFlow.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RequestFlow.kt
@@ -14,7 +14,6 @@
 import rhubarbspool.routing.DomainReachability
 import rhubarbspool.routing.KeyLocation
 import rhubarbspool.routing.KeyLocator
-import java.util.concurrent.TimeUnit
 
 /** Finds the gate of a request and brings the request there. */
 internal class RequestFlow(
@@ -23,15 +22,20 @@
     private val forwards: ForwardClient,
 ) {
     private val reachability = DomainReachability()
+    private val waits = RetryWaits(context.loop)
 
     /** Starts [request]; exactly one answer goes to [sink]. */
     fun start(request: IncomingRequest, sink: AnswerSink): Ticket = Attempts(request, sink).also { it.next() }
 
+    /** The router learned something new: what waits for it is tried again. */
+    fun learned() = waits.wake()
+
     private inner class Attempts(private val request: IncomingRequest, private val sink: AnswerSink) : Ticket {
         private val patienceUntil = ProcessClock.monotonic() + PATIENCE_MILLISECONDS
         private var current: Ticket? = null
         private var cancelled = false
         private var maybeRun = false
+        private var tries = 0
         private var domain: FailureDomainName? = null
 
         override fun cancel() {
@@ -64,7 +68,7 @@
             val hopeless = cutOff && error.kind in UNREACHABLE
             val late = now >= minOf(patienceUntil, request.deadlineAt - RETRY_DELAY_MILLISECONDS)
             if (!mayTryAgain(error) || hopeless || late) return finish(error)
-            context.loop.schedule(::next, RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS)
+            waits.add(tries++, ::next)
         }
 
         /** A repeat of a once-only request meets the records of the gate, so it is safe as well. */
@@ -108,7 +112,7 @@
 
     private companion object {
         const val PATIENCE_MILLISECONDS = 1_500L
-        const val RETRY_DELAY_MILLISECONDS = 20L
+        const val RETRY_DELAY_MILLISECONDS = 25L
         const val RETRY_MILLISECONDS = 1_000L
         val ELSEWHERE = setOf(ErrorKind.GATE_MOVED, ErrorKind.NO_OWNER, ErrorKind.GATE_UNREACHABLE)
         val UNREACHABLE = setOf(ErrorKind.GATE_UNREACHABLE, ErrorKind.GATE_LOST)
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterDaemon.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterDaemon.kt
@@ -20,6 +20,7 @@
 import rhubarbspool.edge.Metrics
 import rhubarbspool.edge.ObservationHandler
 import rhubarbspool.edge.ProcessClock
+import rhubarbspool.model.ServerName
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -47,13 +48,17 @@
     private val peers = Channels(group, pings = true)
     private val localChannels = Channels(group, pings = false)
     private val forwards = ForwardService(context, gates)
-    private val entry = CallerEntry(context, RequestFlow(context, gates, ForwardClient(peers)))
+    private val lag = LoopLag(TICK_MILLISECONDS)
+    private val flow = RequestFlow(context, gates, ForwardClient(peers))
+    private val entry = CallerEntry(context, flow, lag)
     private val callers = CallerServer(group, entry, settings.callerConnections)
     private val link =
         ControllerLink(loop, localChannels, settings.identity.controller, view, ::report, ::ordersApplied)
     private lateinit var server: Server
     private lateinit var observation: Channel
     private var configurationsSeen = view.configurations
+    private var rowsSeen = 0L
+    private var gatesSeen = emptySet<ServerName>()
 
     /** Starts to listen. */
     fun start() {
@@ -67,7 +72,7 @@
             .build().start()
         observation = HttpService(group, ObservationHandler(metrics, ::isReady)).listen(settings.routerObservation)
         callers.listen(settings.callers)
-        loop.scheduleWithFixedDelay(::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS)
+        loop.scheduleWithFixedDelay(::pacedTick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS)
         loop.execute(link::start)
         logger.atInfo {
             message = "router started"
@@ -108,6 +113,16 @@
             gates.reconfigure()
         }
         tick()
+        if (view.rows.changes != rowsSeen || view.gates.keys != gatesSeen) {
+            rowsSeen = view.rows.changes
+            gatesSeen = view.gates.keys
+            flow.learned()
+        }
+    }
+
+    private fun pacedTick() {
+        lag.ticked(ProcessClock.monotonic())
+        tick()
     }
 
     @Suppress("TooGenericExceptionCaught")
