--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ClaimSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ClaimSystem.kt
@@ -1,5 +1,6 @@
 /*
- * Claims gates that nobody holds. The candidates of a free gate come in turn, so that two rarely write at once
+ * Claims gates that nobody holds. A failure domain without an instance that takes part leaves its gates to others:
+ * that a gate is free is always certain, so this is no takeover. The candidates of a free gate come in turn, so that two rarely write at once
  * and none blocks the others.
  */
 package rhubarbspool.control
@@ -53,8 +54,7 @@
     private fun isMyTurn(state: ControlState, free: FreeGate, me: MemberEntry, now: Now): Boolean {
         val since = freeSince.getOrPut(free.server.name) { now.monotonic }
         val near = GateRanking.candidates(state).filter { it.member.domain == free.server.domain }
-        val far = if (free.configuration.moveAfterMilliseconds == null) emptyList() else GateRanking.candidates(state)
-        val ranked = GateRanking.ranked(state, free.server, near.ifEmpty { far })
+        val ranked = GateRanking.ranked(state, free.server, near.ifEmpty { GateRanking.candidates(state) })
         val rank = ranked.indexOfFirst { it.member.instance == me.member.instance }
         return rank >= 0 && now.monotonic - since >= rank * TURN_MILLISECONDS
     }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/HandoverSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/HandoverSystem.kt
@@ -47,9 +47,9 @@
 
     private fun bestTarget(state: ControlState, entry: GateEntry): MemberEntry? {
         val server = state.configurations[entry.gate.service]?.configuration?.server(entry.gate.server) ?: return null
-        val others = GateRanking.candidates(state)
-            .filter { it.member.domain == server.domain && it.member.instance != state.identity.instance }
-        return GateRanking.ranked(state, server, others).firstOrNull()
+        val others = GateRanking.candidates(state).filter { it.member.instance != state.identity.instance }
+        val near = others.filter { it.member.domain == server.domain }
+        return GateRanking.ranked(state, server, near.ifEmpty { others }).firstOrNull()
     }
 
     /** A gate that would be better held elsewhere: in the server's own domain, or by an instance with far fewer. */
@@ -59,7 +59,9 @@
         return own.firstOrNull { entry ->
             val target = bestTarget(state, entry)?.member
             val theirs = counts[target?.instance?.text] ?: 0
-            target != null && (target.domain != state.identity.domain || mine - theirs > 1)
+            val home = state.configurations[entry.gate.service]?.configuration?.server(entry.gate.server)?.domain
+            val belongsThere = target?.domain == home && state.identity.domain != home
+            target != null && (belongsThere || (target.domain == state.identity.domain && mine - theirs > 1))
         }
     }
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/RouterDesk.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/RouterDesk.kt
@@ -48,8 +48,7 @@
 
     /** Whether once-only requests may run at [now] without a record at the table: every successor is warned. */
     fun unrecordedAllowed(now: Now): Boolean {
-        val remoteWarned = state.remote.named.isEmpty() || state.remote.allWarned
-        return leaseValid(now) && state.unrecordedRuns && state.local.allWarned && remoteWarned
+        return leaseValid(now) && state.unrecordedRuns && state.local.allWarned && state.remote.allWarned
     }
 
     private fun gateReleased(release: ReleaseOrder) {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ServerSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ServerSystem.kt
@@ -17,7 +17,7 @@
 /** Writes the state of servers and the fingerprints of requests that crash them. */
 internal object ServerSystem : ControlSystem {
     /** How long a server must be out of reach before its shards move. */
-    const val UNREACHABLE_MILLISECONDS: Long = 300
+    const val UNREACHABLE_MILLISECONDS: Long = 200
 
     /** How long a fingerprint is kept after the last crash that it was in flight at. */
     const val QUARANTINE_MILLISECONDS: Long = 600_000
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/CallEnds.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/CallEnds.kt
@@ -57,6 +57,7 @@
     }
 
     private fun notSent(call: GateCall, now: Long): List<GateEffect> {
+        state.slots.becameCold()
         val error = RequestError(ErrorKind.SERVER_UNREACHABLE, retryAfterMilliseconds = Admission.BACK_SOON)
         return if (mayRetry(call, now)) requeue(call) else state.end(call, error)
     }
@@ -64,6 +65,7 @@
     private fun broken(call: GateCall, end: CallEnd.Broken, now: Long): List<GateEffect> {
         recentlyBroken[call.request.fingerprint] = now
         call.mayHaveRun = true
+        if (end.byServer) state.slots.becameCold()
         val again = call.request.kind == RunKind.REPEATABLE && !end.answerBegan && mayRetry(call, now)
         val kind = if (end.answerBegan) ErrorKind.ANSWER_CUT_SHORT else ErrorKind.OUTCOME_UNKNOWN
         return if (again) requeue(call) else state.end(call, RequestError(kind), ranAt = now)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/Dispatcher.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/Dispatcher.kt
@@ -11,7 +11,8 @@
     /** Adds [call] to what waits, and sends what may be sent at [now]. */
     fun admit(call: GateCall, now: Long): List<GateEffect> {
         if (!state.open || call.members.isEmpty()) return state.end(call, admission.moved())
-        state.queue.add(call.request)
+        val drainTime = maxOf(state.slots.serviceTime, SHORTEST_SERVICE_MILLISECONDS) / state.slots.allowed
+        state.queue.add(call.request, now, drainTime)
         return dispatch(now)
     }
 
@@ -35,7 +36,7 @@
         val kind = if (call.isSent) ErrorKind.DEADLINE_AFTER_RUN else ErrorKind.DEADLINE_BEFORE_RUN
         late.forEach { state.detach(it.id, call) }
         val error = RequestError(kind, retryAfterMilliseconds = admission.waitTime().toLong())
-        val answers = late.map { state.refuse(it, call.truth(error)) }
+        val answers = late.map { GateEffect.Refuse(it.id, call.truth(error)) }
         return answers + abandon(call)
     }
 
@@ -61,4 +62,8 @@
         state.inFlight++
         return listOf(GateEffect.Dispatch(call.request))
     }
+
+    private companion object {
+        const val SHORTEST_SERVICE_MILLISECONDS = 1.0
+    }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/FairQueue.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/FairQueue.kt
@@ -1,23 +1,23 @@
 /*
- * Requests that wait for one server. Served by start tags as in start-time fair queueing: a request's tag is the
- * later of its caller's and its key's last tag, so neither a busy caller nor a hot key starves the others. A
- * class of low priority starts with a handicap and is therefore late but never starved.
+ * Requests that wait for one server, in the order of their due times. A request is due when it arrives; one whose
+ * caller or key asked for more than its share of the server just before is due later, so neither a busy caller nor
+ * a hot key delays the others. Time passes for everyone, so nothing waits for ever, and callers within their share
+ * are served in the order in which they came.
  */
 package rhubarbspool.gate
 
 import java.util.TreeMap
 
-/** Waiting calls in the order in which they are to be served. */
+/** Waiting calls in the order in which they are to be served. Times are milliseconds. */
 internal class FairQueue {
-    private data class Position(val tag: Double, val sequence: Long) : Comparable<Position> {
-        override fun compareTo(other: Position): Int = compareValuesBy(this, other, { it.tag }, { it.sequence })
+    private data class Position(val due: Double, val sequence: Long) : Comparable<Position> {
+        override fun compareTo(other: Position): Int = compareValuesBy(this, other, { it.due }, { it.sequence })
     }
 
     private val waiting = TreeMap<Position, GateRequest>()
     private val positions = HashMap<Long, Position>()
     private val callers = HashMap<String, Double>()
     private val keys = HashMap<String, Double>()
-    private var virtualTime = 0.0
     private var sequence = 0L
 
     val size: Int get() = waiting.size
@@ -25,24 +25,27 @@
     /** Requests in the order in which they are to be served. */
     val requests: Collection<GateRequest> get() = waiting.values
 
-    /** Adds [request] behind what its caller and its key already wait for. */
-    fun add(request: GateRequest) {
-        val start = maxOf(virtualTime, callers[request.caller] ?: 0.0, keys[request.key] ?: 0.0)
-        callers[request.caller] = start + 1
-        keys[request.key] = start + 1
-        insert(request, Position(start + request.priority.handicap, ++sequence))
+    /** Adds [request] at [now] to a server that takes [drainTime] for one request over all its slots. */
+    fun add(request: GateRequest, now: Long, drainTime: Double) {
+        val start = maxOf(now.toDouble(), callers[request.caller] ?: 0.0, keys[request.key] ?: 0.0)
+        val next = start + drainTime * SHARE
+        callers[request.caller] = next
+        keys[request.key] = next
+        insert(request, Position(start + request.priority.handicap * drainTime, ++sequence))
     }
 
     /** Puts [request] back in front: it was taken before. */
-    fun addFirst(request: GateRequest) = insert(request, Position(virtualTime - 1, ++sequence))
+    fun addFirst(request: GateRequest) {
+        val first = waiting.firstEntry()?.key?.due ?: 0.0
+        insert(request, Position(first - 1, ++sequence))
+    }
 
     /** Takes out the first request that [admits] lets through. */
     fun take(admits: (GateRequest) -> Boolean): GateRequest? {
         val entry = waiting.entries.firstOrNull { admits(it.value) } ?: return null
-        virtualTime = maxOf(virtualTime, entry.key.tag)
-        remove(entry.value.id)
-        if (waiting.isEmpty()) forgetFlows()
-        return entry.value
+        val request = entry.value
+        remove(request.id)
+        return request
     }
 
     /** Takes the request [id] out; false when it does not wait. */
@@ -51,14 +54,19 @@
         return waiting.remove(position) != null
     }
 
+    /** Forgets callers and keys that have been within their share at [now]. */
+    fun forgetQuiet(now: Long) {
+        callers.values.removeAll { it <= now }
+        keys.values.removeAll { it <= now }
+    }
+
     private fun insert(request: GateRequest, position: Position) {
         waiting[position] = request
         positions[request.id] = position
     }
 
-    private fun forgetFlows() {
-        callers.clear()
-        keys.clear()
-        virtualTime = 0.0
+    private companion object {
+        /** A caller or key may take one part in so many of the server before it is delayed. */
+        const val SHARE = 4
     }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GatePolicy.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GatePolicy.kt
@@ -20,7 +20,7 @@
     val slowStart: Boolean = true,
     val coalesce: Boolean = true,
     val retryBudget: Boolean = true,
-    val squareRootHeadroom: Double = 0.0,
+    val squareRootHeadroom: Double = 1.0,
 ) {
     /** Service times that are kept free between the expected end of a request and its deadline. */
     fun headroom(ahead: Int): Double = 1.0 + squareRootHeadroom * sqrt(ahead.toDouble())
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateRequest.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateRequest.kt
@@ -46,8 +46,11 @@
     /** No byte of the request was sent. */
     data object NotSent : CallEnd
 
-    /** Something was sent and no whole answer came; [answerBegan] when the caller saw a part of one. */
-    data class Broken(val answerBegan: Boolean = false) : CallEnd
+    /**
+     * Something was sent and no whole answer came; [answerBegan] when the caller saw a part of one, [byServer] when
+     * the server closed the connection rather than this side.
+     */
+    data class Broken(val answerBegan: Boolean = false, val byServer: Boolean = false) : CallEnd
 }
 
 /** What became of the record that a once-only request is about to run. */
@@ -70,7 +73,7 @@
     /** Give [request] its share of the answer of [call]. */
     data class Attach(val request: Long, val call: Long) : GateEffect
 
-    /** Answer [request] with [error]. */
+    /** Answer [request] with [error], or try it elsewhere; see [RequestError.forOnceOnly] for what may be told. */
     data class Refuse(val request: Long, val error: RequestError) : GateEffect
 
     /** Answer [request] with the recorded [answer] of an earlier run. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateState.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/GateState.kt
@@ -95,13 +95,9 @@
         drop(call, notRun = ranAt == null)
         val onceId = call.request.onceId
         if (onceId != null && ranAt != null) once[onceId] = OnceRegistry.Entry.Unclear(call.request.fingerprint, ranAt)
-        return members.map { refuse(it, call.truth(error)) }
+        return members.map { GateEffect.Refuse(it.id, call.truth(error)) }
     }
 
-    /** Answers [request] with [error], as far as that may be told. */
-    fun refuse(request: GateRequest, error: RequestError): GateEffect =
-        GateEffect.Refuse(request.id, if (request.onceId == null) error else error.forOnceOnly(request.firstAttempt))
-
     /** Forgets [call]; with [notRun] its record says that it was certainly not run. */
     fun drop(call: GateCall, notRun: Boolean) {
         val request = call.request
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/OnceDesk.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/OnceDesk.kt
@@ -90,7 +90,7 @@
         return members.flatMap { offer(it, onceId, now) }
     }
 
-    private fun refuse(request: GateRequest, error: RequestError) = listOf(state.refuse(request, error))
+    private fun refuse(request: GateRequest, error: RequestError) = listOf(GateEffect.Refuse(request.id, error))
 
     private fun unclear(retryAfter: Long? = null) =
         RequestError(ErrorKind.OUTCOME_UNKNOWN, retryAfterMilliseconds = retryAfter)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/ServerGate.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/ServerGate.kt
@@ -53,7 +53,7 @@
     private fun offered(request: GateRequest, now: Long): List<GateEffect> {
         val refusal = admission.refusal(request, now)
         return when {
-            refusal != null -> listOf(state.refuse(request, refusal))
+            refusal != null -> listOf(GateEffect.Refuse(request.id, refusal))
             request.onceId != null -> onceDesk.offer(request, request.onceId, now)
             else -> offeredRepeatable(request, now)
         }
@@ -64,7 +64,7 @@
         val overload = if (running == null) admission.overload(request, now) else null
         return when {
             running != null -> state.attach(request, running)
-            overload != null -> listOf(state.refuse(request, overload))
+            overload != null -> listOf(GateEffect.Refuse(request.id, overload))
             else -> dispatcher.admit(state.start(request), now)
         }
     }
@@ -83,6 +83,7 @@
 
     private fun tick(now: Long): List<GateEffect> {
         state.once.expire(now)
+        state.queue.forgetQuiet(now)
         return dispatcher.expire(now) + dispatcher.dispatch(now)
     }
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/SlotLimit.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/SlotLimit.kt
@@ -1,7 +1,7 @@
 /*
  * How many requests a server is given at once. A cold server starts at what it can carry and earns slots by
- * answers in time, never by its own health report. A server that turns cold without warning is recognised by
- * its service times.
+ * answering as fast as it did when it was warm, never by its own health report. A server that turns cold without
+ * warning is recognised by its service times.
  */
 package rhubarbspool.gate
 
@@ -9,10 +9,11 @@
 
 /** Slots of one server. All durations are milliseconds. */
 class SlotLimit(private var slots: Int, private var coldStart: ColdStart) {
-    private var earned = 0
-    private var slowInRow = 0
+    private var answers = 0
+    private var sum = 0.0
+    private var slowWindows = 0
     private var recent = 0.0
-    private var baseline = 0.0
+    private var warm = 0.0
 
     /** Requests that may run at once. */
     var allowed: Int = minOf(coldStart.slots, slots)
@@ -34,43 +35,50 @@
     /** Starts over: the server is known, or must be taken, to be cold. */
     fun becameCold() {
         allowed = minOf(coldStart.slots, slots)
-        earned = 0
-        slowInRow = 0
+        startWindow()
+        slowWindows = 0
     }
 
     /** Takes in an answer that took [milliseconds]. */
     fun answered(milliseconds: Long) {
         val time = maxOf(milliseconds.toDouble(), 1.0)
         recent = if (recent == 0.0) time else recent + RECENT_WEIGHT * (time - recent)
-        val slow = baseline > 0 && time > baseline * SLOW_FACTOR
-        slowInRow = if (slow) slowInRow + 1 else 0
-        if (slowInRow >= SLOW_IN_ROW) {
-            if (!cold) becameCold()
-            baseline = minOf(recent, baseline * BASELINE_GROWTH)
-            slowInRow = 0
-        }
-        if (!slow) earn(time)
+        answers++
+        sum += time
+        if (!cold && warm > 0 && recent > warm * TURNED_COLD_FACTOR) becameCold()
+        if (answers >= coldStart.completions) endWindow(sum / answers)
     }
 
     /** The server refused a request for overload. */
     fun shed() {
         allowed = maxOf(1, allowed / 2)
-        earned = 0
+        startWindow()
+    }
+
+    /** A window of answers is full: their mean time tells whether the server is warm. */
+    private fun endWindow(mean: Double) {
+        startWindow()
+        val isWarm = warm == 0.0 || mean <= warm * WARM_FACTOR
+        if (isWarm) {
+            warm = if (warm == 0.0) mean else warm + WARM_WEIGHT * (mean - warm)
+            slowWindows = 0
+            allowed = minOf(slots, allowed + 1)
+        } else if (++slowWindows >= SLOW_WINDOWS) {
+            slowWindows = 0
+            warm *= WARM_FACTOR
+        }
     }
 
-    private fun earn(time: Double) {
-        baseline = if (baseline == 0.0) time else baseline + BASELINE_WEIGHT * (time - baseline)
-        earned++
-        if (earned < coldStart.completions) return
-        earned = 0
-        allowed = minOf(slots, allowed + 1)
+    private fun startWindow() {
+        answers = 0
+        sum = 0.0
     }
 
     private companion object {
         const val RECENT_WEIGHT = 0.2
-        const val BASELINE_WEIGHT = 0.02
-        const val SLOW_FACTOR = 5.0
-        const val SLOW_IN_ROW = 3
-        const val BASELINE_GROWTH = 1.5
+        const val WARM_WEIGHT = 0.1
+        const val WARM_FACTOR = 1.6
+        const val TURNED_COLD_FACTOR = 2.5
+        const val SLOW_WINDOWS = 20
     }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/lease/HolderLease.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/lease/HolderLease.kt
@@ -49,7 +49,7 @@
     }
 
     /** Whether every successor knows that this holder may have run requests which the table does not know of. */
-    val allWarned: Boolean get() = named.isNotEmpty() && warned.containsAll(named)
+    val allWarned: Boolean get() = warned.containsAll(named)
 
     /** Stops waiting for a successor that the table shows can never take over. */
     fun forget(successor: Successor) {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/table/RowCodec.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/table/RowCodec.kt
@@ -9,7 +9,7 @@
 /** Writes and reads row bodies as JSON. */
 object RowCodec {
     private val json = Json {
-        classDiscriminator = "kind"
+        classDiscriminator = "row"
         ignoreUnknownKeys = true
         encodeDefaults = false
     }
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/gate/GateWorld.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/gate/GateWorld.kt
@@ -10,6 +10,7 @@
 import rhubarbspool.configuration.Route
 import rhubarbspool.configuration.RunKind
 import rhubarbspool.configuration.ServiceConfiguration
+import rhubarbspool.errors.ErrorKind
 import rhubarbspool.errors.Outcome
 import rhubarbspool.model.Address
 import rhubarbspool.model.FailureDomainName
@@ -171,7 +172,7 @@
     private fun breakOff(run: Running) {
         val lingers = random.nextBoolean()
         if (lingers) lingering += now + random.nextLong(1, 100) to gate
-        finish(run, CallEnd.Broken(answerBegan = random.nextInt(4) == 0), slotFree = !lingers)
+        finish(run, CallEnd.Broken(answerBegan = random.nextInt(4) == 0, byServer = random.nextBoolean()), slotFree = !lingers)
     }
 
     private fun shed() {
@@ -223,19 +224,18 @@
 
     private fun refused(effect: GateEffect.Refuse) {
         val request = requests.getValue(effect.request)
+        val told = if (request.onceId == null) effect.error else effect.error.forOnceOnly(request.firstAttempt)
         val wasSent = callOf[request.id] in sentCalls || (runsByOnceId[request.onceId] ?: 0) > 0
-        if (effect.error.kind.outcome == Outcome.NOT_RUN && wasSent && !isOtherRequest(effect)) {
-            throw GateViolation("${effect.error.kind} says not run, yet it was sent: $request")
+        val notRun = told.kind.outcome == Outcome.NOT_RUN
+        if (notRun && wasSent && told.kind != ErrorKind.REQUEST_ID_REUSED) {
+            throw GateViolation("${told.kind} says not run, yet it was sent: $request")
         }
-        if (effect.error.kind.retryable && effect.error.retryAfterMilliseconds == null && effect.error.kind.outcome == Outcome.NOT_RUN) {
-            throw GateViolation("${effect.error.kind} does not say when to come back")
+        if (notRun && told.kind.retryable && told.retryAfterMilliseconds == null) {
+            throw GateViolation("${told.kind} does not say when to come back")
         }
         answered(effect.request)
     }
 
-    private fun isOtherRequest(effect: GateEffect.Refuse) =
-        effect.error.kind == rhubarbspool.errors.ErrorKind.REQUEST_ID_REUSED
-
     private fun answered(id: Long) {
         if (answers.merge(id, 1, Int::plus) != 1) throw GateViolation("request $id was answered twice")
     }
--- a/rhubarbspool-lab/src/main/kotlin/rhubarbspool/lab/ExperimentCommand.kt
+++ b/rhubarbspool-lab/src/main/kotlin/rhubarbspool/lab/ExperimentCommand.kt
@@ -1,3 +1,68 @@
+/*
+ * `rhubarbspool-lab experiment`: runs named experiments, and writes their figures as JSON and a plot.
+ */
 package rhubarbspool.lab
+
 import com.github.ajalt.clikt.core.CliktCommand
-internal class ExperimentCommand : CliktCommand(name = "experiment") { override fun run() = Unit }
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.multiple
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.ajalt.clikt.parameters.types.long
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import java.io.File
+
+/** Runs experiments. */
+internal class ExperimentCommand : CliktCommand(name = "experiment") {
+    private val names by argument("name", help = "Which; all of them when none is named")
+        .choice(Experiments.all.associateBy { it.name }).multiple()
+    private val seed by option("--seed", help = "Equal seeds give equal figures").long().default(1)
+    private val output by option("--output", help = "Directory for JSON and plots").file(canBeFile = false)
+        .default(File("docs/measurements"))
+
+    override fun help(context: Context): String =
+        "Runs the decision code of gates against a small model of backend servers.\n\n" +
+            "Example: rhubarbspool-lab experiment load cold --seed 1 --output docs/measurements"
+
+    override fun run() {
+        output.mkdirs()
+        names.ifEmpty { Experiments.all }.forEach(::run)
+    }
+
+    private fun run(experiment: Experiment) {
+        echo("\n${experiment.name}: ${experiment.question}")
+        echo(HEADER)
+        val outcomes = experiment.scenarios.flatMap { scenario ->
+            experiment.variants.map { variant ->
+                Simulation(scenario, variant, seed).run().also { echo(line(it)) }
+            }
+        }
+        File(output, "${experiment.name}.json").writeText(JSON.encodeToString(outcomes) + "\n")
+        Plots.write(experiment, outcomes, File(output, experiment.name))
+    }
+
+    private fun line(outcome: Outcome): String = FORMAT.format(
+        outcome.scenario,
+        outcome.loadFactor,
+        outcome.variant,
+        outcome.goodput,
+        outcome.latency.p50,
+        outcome.latency.p99,
+        outcome.latency.p999,
+        outcome.runsPerAnswer,
+        outcome.late,
+        outcome.fellOver,
+        outcome.mostAtColdServer,
+    )
+
+    private companion object {
+        const val FORMAT = "%-14s %5.2f %-18s %7.3f %7.1f %7.1f %7.1f %6.2f %6.3f %5d %5d"
+        const val HEADER =
+            "scenario        load variant            goodput     p50     p99    p999   runs   late falls  cold"
+        val JSON = Json { prettyPrint = true }
+    }
+}
--- /dev/null
+++ b/rhubarbspool-lab/src/main/kotlin/rhubarbspool/lab/Plots.kt
@@ -0,0 +1,38 @@
+/*
+ * Plots of experiments.
+ */
+package rhubarbspool.lab
+
+import org.knowm.xchart.BitmapEncoder
+import org.knowm.xchart.CategoryChart
+import org.knowm.xchart.CategoryChartBuilder
+import java.io.File
+
+/** Draws goodput and the tail of an experiment side by side for each variant. */
+internal object Plots {
+    private const val WIDTH = 900
+    private const val HEIGHT = 450
+
+    /** Writes two PNG files whose names begin with [base]. */
+    fun write(experiment: Experiment, outcomes: List<Outcome>, base: File) {
+        save(chart(experiment, "answered in time", outcomes) { it.goodput }, "$base-goodput")
+        save(chart(experiment, "p99 in ms", outcomes) { it.latency.p99 }, "$base-p99")
+    }
+
+    private fun chart(
+        experiment: Experiment,
+        axis: String,
+        outcomes: List<Outcome>,
+        value: (Outcome) -> Double,
+    ): CategoryChart {
+        val chart = CategoryChartBuilder().width(WIDTH).height(HEIGHT).title(experiment.question)
+            .xAxisTitle("scenario").yAxisTitle(axis).build()
+        outcomes.groupBy { it.variant }.forEach { (variant, points) ->
+            chart.addSeries(variant, points.map { "${it.scenario} ${it.loadFactor}" }, points.map(value))
+        }
+        return chart
+    }
+
+    private fun save(chart: CategoryChart, name: String) =
+        BitmapEncoder.saveBitmap(chart, name, BitmapEncoder.BitmapFormat.PNG)
+}
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerConnection.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
@@ -56,6 +57,7 @@
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         if (event is IdleStateEvent && turns.isIdle) context.close()
+        if (event is ChannelInputShutdownEvent) turns.inputEnded()
     }
 
     @Deprecated("Overrides a deprecated method of Netty")
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerServer.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerServer.kt
@@ -31,6 +31,7 @@
         listener = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) = accept(channel)
             })
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerTurns.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerTurns.kt
@@ -46,6 +46,12 @@
     /** Closes the connection if [condition] holds on its event loop. */
     fun closeIf(condition: () -> Boolean) = context.executor().execute { if (condition()) context.close() }
 
+    /** The caller sends nothing more, and still gets the answers that it waits for. */
+    fun inputEnded() {
+        isClosing = true
+        if (isIdle) context.close()
+    }
+
     /** The connection takes more bytes. */
     fun writable() {
         answer?.writable()
@@ -73,7 +79,7 @@
     private fun answered(keepAlive: Boolean) {
         answer = null
         ticket = null
-        if (keepAlive) {
+        if (keepAlive && !(isClosing && waiting.isEmpty())) {
             context.executor().execute { if (answer == null) next() }
         } else {
             isClosing = true
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ControllerLink.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ControllerLink.kt
@@ -32,6 +32,9 @@
         loop.scheduleWithFixedDelay(::ask, 0, INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
+    /** Reports at once: something that the controller waits for is done. */
+    fun reportNow() = ask()
+
     private fun ask() {
         val now = ProcessClock.monotonic()
         if (now - answeredAt > SILENCE_MILLISECONDS) reopen()
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterDaemon.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/RouterDaemon.kt
@@ -59,6 +59,7 @@
     private var configurationsSeen = view.configurations
     private var rowsSeen = 0L
     private var gatesSeen = emptySet<ServerName>()
+    private var releasesSeen = emptySet<Long>()
 
     /** Starts to listen. */
     fun start() {
@@ -118,6 +119,15 @@
             gatesSeen = view.gates.keys
             flow.learned()
         }
+        reportReleases()
+    }
+
+    /** The controller waits for releases; they are reported at once when they are new. */
+    private fun reportReleases() {
+        val ordered = view.releases.values.toSet() + view.gates.values.map { it.releaseOrder }.filter { it != 0L }
+        val isNew = !releasesSeen.containsAll(ordered)
+        releasesSeen = ordered
+        if (isNew) loop.execute(link::reportNow)
     }
 
     private fun pacedTick() {
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ServerRun.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/ServerRun.kt
@@ -74,7 +74,7 @@
             end == WireEnd.NOT_SENT -> CallEnd.NotSent
             refusal != null && whole -> requireNotNull(refusal)
             whole && status != null -> CallEnd.Answered(status, record(status))
-            else -> CallEnd.Broken(answerBegan = streaming)
+            else -> CallEnd.Broken(answerBegan = streaming, byServer = end == WireEnd.CLOSED_BY_SERVER)
         }
         if (whole && refusal == null) finishSinks() else if (streaming) owner.sinks(request.id).forEach { it.abort() }
         owner.ended(this, result, end)
