--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/control/ControlFuzzTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/control/ControlFuzzTest.kt
@@ -25,6 +25,16 @@
         world.oracle.sends shouldBeGreaterThan 1_000
     }
 
+    test("a controller that restarts gives no gate away that its paused router may still use") {
+        val violations = (1L..60L).mapNotNull { seed ->
+            val target = (seed % 8).toInt()
+            val pause = Fault(RESTART_AT, FaultKind.PAUSE_ROUTER, target, 0, 300 + seed * 4)
+            val restart = Fault(RESTART_AT + 5, FaultKind.RESTART_CONTROLLER, target, 0, 0)
+            violationOf(ControlWorld(seed, listOf(pause, restart)))
+        }
+        violations.shouldBeEmpty()
+    }
+
     test("a drained failure domain gets no new work after three seconds") {
         val drained = TestServices.servers.filter { it.domain.text == "domain-0" }.map { it.name }
         val violations = (1L..20L).mapNotNull { seed ->
@@ -37,6 +47,7 @@
 })
 
 private const val DRAIN_AT = 8_000L
+private const val RESTART_AT = 8_000L
 
 private fun failureOf(seed: Long): String? {
     val faults = Faults.draw(seed)
