--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -30,7 +30,7 @@
         "lease/HolderLease.kt", "if (!lapsed && now >= validUntil(duration)) lapsed = true\n        return !lapsed",
         "return now < validUntil(duration)", "ControlFuzzTest", 300),
     "serves-on-incomplete-rows": (
-        "control/RouterDesk.kt", "val complete = state.completeRevision >= maxOf(entry.version, state.regainVersion)",
+        "control/RouterCoordinator.kt", "val complete = state.completeRevision >= maxOf(entry.version, state.regainVersion)",
         "val complete = true", "ControlFuzzTest", 300),
     "grants-before-release": (
         "control/ShardMoveSystem.kt", "state.moves.entries.filter { it.value.drained }", "state.moves.entries",
@@ -54,20 +54,20 @@
         "control/ControlState.kt", "!isDraining(DrainKind.SERVER, server.name.text) &&",
         "true ||", "ControlFuzzTest", 1),
     "late-release-believed": (
-        "control/RouterDesk.kt", "if (move.order == release.order) move.copy(drained = true) else move",
+        "control/RouterCoordinator.kt", "if (move.order == release.order) move.copy(drained = true) else move",
         "move.copy(drained = true)", "ControlFuzzTest", 300),
     "move-ignores-gate-row": (
         "control/ShardMoveSystem.kt", " + gateUnchanged\n", "\n", "ControlFuzzTest", 300),
     "remote-lease-ignored": (
-        "control/RouterDesk.kt", "!moves || wait == 0L -> Long.MAX_VALUE", "true -> Long.MAX_VALUE", "ControlFuzzTest", 300),
+        "control/RouterCoordinator.kt", "!moves || wait == 0L -> Long.MAX_VALUE", "true -> Long.MAX_VALUE", "ControlFuzzTest", 300),
     "regain-reads-nothing": (
         "control/MemberWrite.kt", "if (state.local.lapsed || state.remote.lapsed) state.regainVersion = version\n", "",
         "ControlFuzzTest", 300),
     "runs-without-record": (
-        "gate/OnceDesk.kt", "return if (hasRecord) recorded(call, now) else listOf(GateEffect.RecordIntent(request))",
+        "gate/OnceAdmission.kt", "return if (hasRecord) recorded(call, now) else listOf(GateEffect.RecordIntent(request))",
         "return recorded(call, now)", "GateFuzzTest", 400),
     "duplicate-record-ignored": (
-        "gate/OnceDesk.kt", "is IntentResult.Duplicate -> duplicate(call, result, now)",
+        "gate/OnceAdmission.kt", "is IntentResult.Duplicate -> duplicate(call, result, now)",
         "is IntentResult.Duplicate -> recorded(call, now)", "GateFuzzTest", 400),
     "earlier-try-forgotten": (
         "gate/CallEnds.kt", "        call.mayHaveRun = true\n", "", "GateFuzzTest", 400),
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ClaimSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ClaimSystem.kt
@@ -64,7 +64,7 @@
         val conditions = due.map { GateRanking.unchanged(it.entry) } + selfUnchanged
         val writes = due.map { GateRanking.claim(state, it.entry, suspectUntil(state, it, now)) }
         val names = due.joinToString { it.server.name.text }
-        val audit = state.audit(Trail("claim", names, "free", me.member.instance.text, "no holder"), now)
+        val audit = state.audit(AuditedChange("claim", names, "free", me.member.instance.text, "no holder"), now)
         return state.submit(Change("claim", conditions, writes, audit), now)
     }
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlNode.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlNode.kt
@@ -21,7 +21,7 @@
     val state: ControlState = ControlState(identity, times, random)
 
     /** The side towards the router of this instance. */
-    val router: RouterDesk = RouterDesk(state)
+    val router: RouterCoordinator = RouterCoordinator(state)
     private val configurationSystem = ConfigurationSystem()
     private val systems: List<ControlSystem> = listOf(
         LapseSystem,
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ControlSystem.kt
@@ -40,7 +40,7 @@
 }
 
 /** What happened to [subject], for the audit trail. */
-internal data class Trail(
+internal data class AuditedChange(
     val action: String,
     val subject: String,
     val before: String,
@@ -49,12 +49,12 @@
 )
 
 /** A line of the audit trail about what this instance did at [now]. */
-internal fun ControlState.audit(trail: Trail, now: Now): AuditBody = AuditBody(
+internal fun ControlState.audit(change: AuditedChange, now: Now): AuditBody = AuditBody(
     identity.instance.text,
-    trail.action,
-    trail.subject,
-    trail.before,
-    trail.after,
-    trail.cause,
+    change.action,
+    change.subject,
+    change.before,
+    change.after,
+    change.cause,
     now.wall,
 )
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/HandoverSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/HandoverSystem.kt
@@ -14,7 +14,7 @@
 
 /** Hands gates over. */
 internal class HandoverSystem : ControlSystem {
-    private var evenedAt: Long = 0
+    private var balancedAt: Long = 0
 
     override fun run(state: ControlState, now: Now): List<ControlEffect> {
         state.handovers.keys.removeAll { server -> state.rows.gates[server]?.let { !state.isOwn(it) } ?: true }
@@ -32,8 +32,8 @@
         val required = state.phase == Phase.LEAVING || routerLost || state.routerLeaving
         if (required || state.isDraining(me)) {
             own.forEach { giveAway(state, it, required) }
-        } else if (now.monotonic - evenedAt >= EVENING_MILLISECONDS && state.tableAnswers(now)) {
-            evenedAt = now.monotonic
+        } else if (now.monotonic - balancedAt >= BALANCING_MILLISECONDS && state.tableAnswers(now)) {
+            balancedAt = now.monotonic
             surplus(state, own)?.let { giveAway(state, it, required = false) }
         }
         if (routerLost) state.handovers.replaceAll { _, handover -> handover.copy(drained = true) }
@@ -74,7 +74,7 @@
             epoch = entry.gate.epoch + 1,
             suspectUntilMilliseconds = suspectUntil(state, entry, now),
         )
-        val trail = Trail("handover", server.text, "${entry.gate.holder}", "${body.holder}", "given away")
+        val trail = AuditedChange("handover", server.text, "${entry.gate.holder}", "${body.holder}", "given away")
         val change = Change(
             "handover/$server",
             listOf(GateRanking.unchanged(entry)),
@@ -94,6 +94,6 @@
     }
 
     private companion object {
-        const val EVENING_MILLISECONDS = 1_000L
+        const val BALANCING_MILLISECONDS = 1_000L
     }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/JoinSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/JoinSystem.kt
@@ -57,7 +57,7 @@
             "goodbye",
             listOf(Condition(key, state.rows.version(key))),
             listOf(Write(key, goodbye)),
-            state.audit(Trail("leave", member.instance.text, "leaving", "gone", "planned stop"), now),
+            state.audit(AuditedChange("leave", member.instance.text, "leaving", "gone", "planned stop"), now),
         )
         return state.submit(change, now) { result, _ ->
             if (result is CommitResult.Committed) state.phase = Phase.LEFT
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/RouterDesk.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/RouterCoordinator.kt
@@ -10,7 +10,7 @@
 import rhubarbspool.table.RowKeys
 
 /** Gives permissions to the router and takes its reports. */
-class RouterDesk internal constructor(private val state: ControlState) {
+class RouterCoordinator internal constructor(private val state: ControlState) {
     /** Takes in what the router reports at [now]. */
     fun report(news: RouterNews, now: Now) {
         if (news.callsForAction || news.reachable.any { state.reachable[it.key] != it.value }) state.news++
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ServerSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ServerSystem.kt
@@ -35,7 +35,13 @@
         val since = state.unreachableSince[server] ?: now.monotonic
         val settled = reachable == true || now.monotonic - since >= UNREACHABLE_MILLISECONDS
         if (reachable == null || written == reachable || !settled) return emptyList()
-        val trail = Trail("server", server.text, "reachable=$written", "reachable=$reachable", "seen by its gate")
+        val trail = AuditedChange(
+            "server",
+            server.text,
+            "reachable=$written",
+            "reachable=$reachable",
+            "seen by its gate"
+        )
         val change = Change(
             "server/$server",
             listOf(Condition(key, state.rows.version(key)), GateRanking.unchanged(gate)),
@@ -53,7 +59,13 @@
             val crashes = (old?.crashes ?: 0) + 1
             val body =
                 QuarantineBody(notice.service, notice.fingerprint, crashes, now.wall + QUARANTINE_MILLISECONDS)
-            val trail = Trail("crash", key, "crashes=${crashes - 1}", "crashes=$crashes", "in flight at a crash")
+            val trail = AuditedChange(
+                "crash",
+                key,
+                "crashes=${crashes - 1}",
+                "crashes=$crashes",
+                "in flight at a crash"
+            )
             val change = Change(
                 key,
                 listOf(Condition(key, state.rows.version(key))),
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ShardCreationSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ShardCreationSystem.kt
@@ -35,7 +35,10 @@
             Write(RowKeys.shard(configuration.service, index), ShardBody(configuration.service, index, owner))
         }
         val range = "${configuration.service} ${batch.first()}..${batch.last()}"
-        val audit = state.audit(Trail("create-shards", range, "none", "${eligible.size} servers", "new service"), now)
+        val audit = state.audit(
+            AuditedChange("create-shards", range, "none", "${eligible.size} servers", "new service"),
+            now
+        )
         val conditions = writes.map { Condition(it.key, 0) }
         return state.submit(Change("create/${configuration.service}", conditions, writes, audit), now)
     }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ShardMoveSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/ShardMoveSystem.kt
@@ -68,7 +68,7 @@
         val open = state.moves.values.count { it.source == server }
         val room = when {
             urgent -> Int.MAX_VALUE
-            state.tableAnswers(now) -> maxOf(0, EVENING_MOVES - open)
+            state.tableAnswers(now) -> maxOf(0, BALANCING_MOVES - open)
             else -> 0
         }
         moves.filter { !waits && isOpen(state, it) }.take(room).forEach { move ->
@@ -98,7 +98,7 @@
         val conditions = moves.flatMap { (key, move) -> conditions(state, key, move) } + gateUnchanged
         val writes = moves.map { (key, move) -> Write(key, nextBody(state, key, move)) }
         val targets = moves.values.map { "${it.target ?: "range"}" }.distinct().joinToString()
-        val trail = Trail("move-shards", moves.keys.joinToString(), source.text, targets, "placement")
+        val trail = AuditedChange("move-shards", moves.keys.joinToString(), source.text, targets, "placement")
         val change = Change("move/$source", conditions, writes, state.audit(trail, now))
         return state.submit(change, now) { result, _ ->
             if (result !is CommitResult.Unknown) moves.keys.forEach(state.moves::remove)
@@ -118,7 +118,7 @@
 
     private companion object {
         const val BATCH = 100
-        const val EVENING_MOVES = 2
+        const val BALANCING_MOVES = 2
         const val PLAN_MILLISECONDS = 500L
     }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/TakeoverSystem.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/control/TakeoverSystem.kt
@@ -50,7 +50,7 @@
         val suspectUntil = suspectUntil(state, holder.member, now)
         val writes = listOf(Write(holderKey, replaced(holder.member, scope))) +
             gates.map { GateRanking.claim(state, it, suspectUntil) }
-        val trail = Trail("takeover", holder.member.instance.text, "holder", "gone", "no sign of life ($scope)")
+        val trail = AuditedChange("takeover", holder.member.instance.text, "holder", "gone", "no sign of life ($scope)")
         val change = Change("takeover/${holder.member.instance}", conditions, writes, state.audit(trail, now))
         state.promises.attempting(holder.member.instance)
         return state.submit(change, now) { _, _ ->
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/OnceDesk.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/OnceAdmission.kt
@@ -8,7 +8,7 @@
 import rhubarbspool.errors.RequestError
 
 /** Takes once-only requests for one gate. */
-internal class OnceDesk(
+internal class OnceAdmission(
     private val state: GateState,
     private val admission: Admission,
     private val dispatcher: Dispatcher,
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/ServerGate.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/gate/ServerGate.kt
@@ -16,7 +16,7 @@
     private val state = GateState(configuration, suspects, policy)
     private val admission = Admission(state)
     private val dispatcher = Dispatcher(state, admission)
-    private val onceDesk = OnceDesk(state, admission, dispatcher)
+    private val onceAdmission = OnceAdmission(state, admission, dispatcher)
     private val ends = CallEnds(state, admission)
 
     /** Calls at the server now. */
@@ -34,7 +34,7 @@
     /** Takes in [event] at [now]; returns what the edge has to do. */
     fun handle(event: GateEvent, now: Long): List<GateEffect> = when (event) {
         is GateEvent.Offered -> offered(event.request, now)
-        is GateEvent.IntentResolved -> onceDesk.resolved(event.id, event.result, now)
+        is GateEvent.IntentResolved -> onceAdmission.resolved(event.id, event.result, now)
         is GateEvent.CallerLeft -> callerLeft(event.id)
         is GateEvent.CallEnded -> callEnded(event, now)
         is GateEvent.SlotFreed -> state.slotFreed() + dispatcher.dispatch(now)
@@ -54,7 +54,7 @@
         val refusal = admission.refusal(request, now)
         return when {
             refusal != null -> listOf(GateEffect.Refuse(request.id, refusal))
-            request.onceId != null -> onceDesk.offer(request, request.onceId, now)
+            request.onceId != null -> onceAdmission.offer(request, request.onceId, now)
             else -> offeredRepeatable(request, now)
         }
     }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/placement/PlacementPlan.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/placement/PlacementPlan.kt
@@ -22,10 +22,10 @@
         val stranded = shards.filter { it.shard.server !in eligible }.sortedBy { it.key }
         shards.forEach { entry -> load.computeIfPresent(entry.shard.server) { _, count -> count + 1 } }
         val moves = stranded.map { entry -> PlannedMove(entry, lightest(load, entry.key).also { add(load, it) }) }
-        return moves + evening(shards, eligible, load)
+        return moves + balancing(shards, eligible, load)
     }
 
-    private fun evening(
+    private fun balancing(
         shards: Collection<ShardEntry>,
         eligible: Set<ServerName>,
         load: MutableMap<ServerName, Int>,
