Serve the users' platform by one process: pools, ownership of keys, adapter

Cause: the platform speaks its own protocol, and two JVMs on a machine cost more than they serve. Change: decision code for pools and ownership in core, the entry process, and platform/ as the only place that knows the platform's names.

--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
@@ -0,0 +1,259 @@
+/*
+ * Keeps the owners of one service's ranges: renews grants, and moves ranges away from servers that leave. A range goes
+ * to another server only after its holder answered a release, or once the last grant that might reach the holder has
+ * run out, or the holder's life has provably ended. The document is written before the grant.
+ */
+package rhubarbspool.ownership
+
+import rhubarbspool.model.Address
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.traffic.BackendEntry
+import rhubarbspool.traffic.ServerState
+
+/** What the edge is asked to do. */
+sealed interface OwnershipEffect {
+    /** Grant [range] to [owner] for [holdMilliseconds]; the answer goes to [OwnershipCoordinator.onGrant]. */
+    data class Grant(
+        val range: Int,
+        val owner: Owner,
+        val fence: Long,
+        val holdMilliseconds: Long,
+        val handover: String?,
+    ) : OwnershipEffect
+
+    /** Take [range] back from [owner]; the answer goes to [OwnershipCoordinator.onRelease]. */
+    data class Release(val range: Int, val owner: Owner, val fence: Long) : OwnershipEffect
+
+    /** Write [document]; the answer goes to [OwnershipCoordinator.onWritten]. */
+    data class Write(val document: OwnershipDocument) : OwnershipEffect
+}
+
+/** How a call to a server ended. */
+enum class OrderResult { ACCEPTED, REFUSED, UNANSWERED, NOT_SENT }
+
+/** What the coordinator sees of the world at one moment; [storeTroubled] while the table does not answer. */
+data class OwnershipView(
+    val servers: List<BackendEntry>,
+    val addresses: Map<Address, BackendEntry>,
+    val evacuated: Set<FailureDomainName>,
+    val storeTroubled: Boolean,
+)
+
+/**
+ * Coordinates the ranges of one service, from [document] on; takes over at [startedAt]. Not thread-safe.
+ *
+ * @param isNew whether nobody has ever granted these ranges; otherwise grants of an earlier coordinator may be on
+ * their way.
+ */
+class OwnershipCoordinator(document: OwnershipDocument, startedAt: Long, isNew: Boolean) {
+    /** The owners as they were last written. */
+    var document: OwnershipDocument = document
+        private set
+
+    private val firstDoubt = if (isNew) startedAt else startedAt + LONGEST_HOLD
+    private val holds = Array(document.ranges) { RangeHold(firstDoubt, firstDoubt) }
+    private var writing: Map<Int, Owner>? = null
+    private var balancedAt = startedAt
+    private var renewalCursor = 0
+
+    /** Ranges whose owner answered a grant that has not run out at [now]. */
+    fun granted(now: Long): Int = holds.count { now - it.grantedAt < HOLD_MILLISECONDS }
+
+    /** Decides at [now] what to do next; at most [calls] calls to servers. */
+    fun tick(view: OwnershipView, calls: Int, now: Long): List<OwnershipEffect> {
+        val eligible = view.servers.filter { it.state == ServerState.READY && it.domain !in view.evacuated }
+        val candidates = eligible.map { candidate(it, now) }
+        val owners = candidates.mapTo(HashSet()) { it.owner }
+        balance(candidates, owners, now)
+        return write(view, candidates, owners, now) + call(view, candidates, owners, calls, now)
+    }
+
+    /** Takes in at [now] the end of a grant that was sent at [sentAt]. */
+    fun onGrant(grant: OwnershipEffect.Grant, result: OrderResult, sentAt: Long, now: Long) {
+        val hold = current(grant.range, grant.owner, grant.fence) ?: return
+        hold.calling = false
+        val until = now + stretched(grant.holdMilliseconds)
+        when (result) {
+            OrderResult.ACCEPTED -> {
+                hold.grantedAt = sentAt
+                hold.mayHoldUntil = maxOf(hold.mayHoldUntil, until)
+                hold.handover = null
+                if (grant.fence % 2 == 1L) hold.fenced = true
+            }
+            OrderResult.UNANSWERED -> {
+                hold.mayHoldUntil = maxOf(hold.mayHoldUntil, until)
+                hold.unansweredUntil = maxOf(hold.unansweredUntil, until)
+            }
+            OrderResult.REFUSED, OrderResult.NOT_SENT -> Unit
+        }
+    }
+
+    /** Takes in the end of a release; [handover] is what the holder answered. */
+    fun onRelease(release: OwnershipEffect.Release, result: OrderResult, handover: String?) {
+        val hold = current(release.range, release.owner, release.fence) ?: return
+        hold.calling = false
+        if (result == OrderResult.ACCEPTED) {
+            hold.released = true
+            hold.handover = handover
+        }
+    }
+
+    /** Takes in at [now] whether the last document was written. */
+    fun onWritten(written: Boolean, now: Long) {
+        val changes = writing ?: return
+        writing = null
+        if (!written) return
+        document = document.with(changes)
+        changes.keys.forEach { holds[it].reassigned(now) }
+    }
+
+    private fun current(range: Int, owner: Owner, fence: Long): RangeHold? {
+        val known = document.owner(range) == owner && fence / 2 == document.fences[range] / 2
+        return if (known) holds[range] else null
+    }
+
+    private fun candidate(entry: BackendEntry, now: Long): Candidate {
+        val weight = if (now < entry.coldUntil) OwnershipPlan.COLD_WEIGHT else 1.0
+        return Candidate(OwnershipPlan.ownerOf(entry), weight * entry.slots)
+    }
+
+    private fun balance(candidates: List<Candidate>, owners: Set<Owner>, now: Long) {
+        if (now - balancedAt < BALANCE_MILLISECONDS) return
+        balancedAt = now
+        val settled = document.ownerOf.indices.all { document.owner(it) in owners && holds[it].target == null }
+        if (!settled) return
+        val current = document.ownerOf.indices.map(document::owner)
+        OwnershipPlan.balance(current, candidates, BALANCE_MOVES).forEach { (range, owner) -> holds[range].target = owner }
+    }
+
+    private fun write(
+        view: OwnershipView,
+        candidates: List<Candidate>,
+        owners: Set<Owner>,
+        now: Long,
+    ): List<OwnershipEffect> {
+        if (writing != null || candidates.isEmpty()) return emptyList()
+        val free = document.ownerOf.indices.filter { isFree(it, view, owners, now) }
+        if (free.isEmpty()) return emptyList()
+        val aimed = free.mapNotNull { range -> holds[range].target?.takeIf { it in owners }?.let { range to it } }.toMap()
+        val current = document.ownerOf.indices.map(document::owner)
+        val changes = OwnershipPlan.assign(free - aimed.keys, current, candidates) + aimed
+        writing = changes
+        return listOf(OwnershipEffect.Write(document.with(changes)))
+    }
+
+    /** Whether nobody can hold [range] any more and its owner is to lose it. */
+    private fun isFree(range: Int, view: OwnershipView, owners: Set<Owner>, now: Long): Boolean {
+        val owner = document.owner(range) ?: return true
+        val hold = holds[range]
+        val wanted = owner in owners && (hold.target == null || hold.target !in owners)
+        if (wanted && !hold.released) return false
+        val voided = hold.released && (hold.fenced || now >= hold.unansweredUntil)
+        return voided || now >= hold.mayHoldUntil && !hold.calling || isDead(owner, view)
+    }
+
+    /** Another life at the same address, or a later life under the same name, proves that [owner] has ended. */
+    private fun isDead(owner: Owner, view: OwnershipView): Boolean {
+        val sameAddress = view.addresses[owner.address]
+        val replaced = sameAddress != null && sameAddress.server != owner.server && sameAddress.bornWall > owner.bornWall
+        val sameName = view.servers.firstOrNull { it.server == owner.server }
+        return replaced || (sameName != null && sameName.bornWall > owner.bornWall)
+    }
+
+    private fun call(
+        view: OwnershipView,
+        candidates: List<Candidate>,
+        owners: Set<Owner>,
+        calls: Int,
+        now: Long,
+    ): List<OwnershipEffect> {
+        val effects = ArrayList<OwnershipEffect>()
+        val count = document.ranges
+        var looked = 0
+        while (looked < count && effects.size < calls) {
+            val range = (renewalCursor + looked) % count
+            nextCall(range, view, owners, candidates.isNotEmpty(), now)?.let(effects::add)
+            looked++
+        }
+        renewalCursor = (renewalCursor + looked) % count
+        return effects
+    }
+
+    private fun nextCall(
+        range: Int,
+        view: OwnershipView,
+        owners: Set<Owner>,
+        canMove: Boolean,
+        now: Long,
+    ): OwnershipEffect? {
+        val owner = document.owner(range) ?: return null
+        val hold = holds[range]
+        if (hold.calling || writing?.containsKey(range) == true || isDead(owner, view)) return null
+        val leaves = owner !in owners && canMove
+        val moves = leaves || (hold.target != null && hold.target in owners)
+        return when {
+            moves && hold.released -> null
+            moves -> takeBack(range, owner, hold, now)
+            owner !in owners && !isListed(owner, view) -> null
+            hold.released -> null
+            else -> renew(range, owner, hold, view, now)
+        }
+    }
+
+    private fun isListed(owner: Owner, view: OwnershipView): Boolean =
+        view.servers.any { it.server == owner.server && it.bornWall == owner.bornWall }
+
+    private fun takeBack(range: Int, owner: Owner, hold: RangeHold, now: Long): OwnershipEffect? {
+        if (now - hold.calledAt < RETRY_MILLISECONDS) return null
+        val doubtful = now < hold.unansweredUntil && !hold.fenced
+        return called(hold, now) {
+            if (doubtful) {
+                OwnershipEffect.Grant(range, owner, document.fences[range] + 1, FENCING_MILLISECONDS, null)
+            } else {
+                OwnershipEffect.Release(range, owner, document.fences[range] + if (hold.fenced) 1 else 0)
+            }
+        }
+    }
+
+    private fun renew(range: Int, owner: Owner, hold: RangeHold, view: OwnershipView, now: Long): OwnershipEffect? {
+        val hasTime = now - hold.grantedAt < if (view.storeTroubled) TROUBLED_RENEWAL else RENEWAL_MILLISECONDS
+        if (hasTime || now - hold.calledAt < RETRY_MILLISECONDS) return null
+        val time = if (view.storeTroubled) LONGEST_GRANT else HOLD_MILLISECONDS
+        val fence = document.fences[range] + if (hold.fenced) 1 else 0
+        return called(hold, now) { OwnershipEffect.Grant(range, owner, fence, time, hold.handover) }
+    }
+
+    private fun called(hold: RangeHold, now: Long, effect: () -> OwnershipEffect): OwnershipEffect {
+        hold.calling = true
+        hold.calledAt = now
+        return effect()
+    }
+
+    companion object {
+        /** Longest hold that servers accept, in milliseconds (platform's bound). */
+        const val LONGEST_GRANT: Long = 10_000
+
+        /** Usual hold; longer than a change of coordinator takes, shorter than the longest for lost servers' sake. */
+        const val HOLD_MILLISECONDS: Long = 7_000
+
+        /** Time between two grants of a range; a third of the hold. */
+        const val RENEWAL_MILLISECONDS: Long = 2_300
+
+        /** While the table does not answer, every grant is soon renewed for the longest time. */
+        const val TROUBLED_RENEWAL: Long = 600
+
+        /** A hold that only has to last until the release that follows. */
+        const val FENCING_MILLISECONDS: Long = 1_500
+        private const val RETRY_MILLISECONDS = 300L
+        private const val BALANCE_MILLISECONDS = 500L
+        private const val BALANCE_MOVES = 64
+
+        /** A server's clock may run two percent slow (platform's bound); the rest is for the way there. */
+        private const val DRIFT_PERCENT = 2
+        private const val TRANSIT_MILLISECONDS = 200L
+        private const val PERCENT = 100
+        private const val LONGEST_HOLD = LONGEST_GRANT + LONGEST_GRANT * DRIFT_PERCENT / PERCENT + TRANSIT_MILLISECONDS
+
+        private fun stretched(hold: Long): Long = hold + hold * DRIFT_PERCENT / PERCENT + TRANSIT_MILLISECONDS
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
@@ -0,0 +1,43 @@
+/*
+ * What is known of one range: whether its owner may still hold it, and which call about it is under way.
+ */
+package rhubarbspool.ownership
+
+/** State of one range while this process coordinates. All times are monotonic milliseconds. */
+internal class RangeHold(var mayHoldUntil: Long, var unansweredUntil: Long) {
+    /** When the last answered grant was sent; long ago when there was none. */
+    var grantedAt: Long = LONG_AGO
+
+    /** When the last call was sent. */
+    var calledAt: Long = LONG_AGO
+
+    /** Whether a call is under way. */
+    var calling: Boolean = false
+
+    /** Whether the holder knows the odd token, which makes its earlier grants void. */
+    var fenced: Boolean = false
+
+    /** Whether the holder answered a release. */
+    var released: Boolean = false
+
+    /** What the last holder handed over for the next one. */
+    var handover: String? = null
+
+    /** Where the range is to go although its owner is well. */
+    var target: Owner? = null
+
+    /** Starts over with a new owner at [now]. */
+    fun reassigned(now: Long) {
+        grantedAt = LONG_AGO
+        calledAt = LONG_AGO
+        fenced = false
+        released = false
+        target = null
+        mayHoldUntil = now
+        unansweredUntil = now
+    }
+
+    companion object {
+        const val LONG_AGO: Long = Long.MIN_VALUE / 2
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
@@ -0,0 +1,73 @@
+/*
+ * The backend servers that this instance knows of. Entries that lapse around an outage of the platform's table are
+ * kept for a moment after its return, since living servers register again then.
+ */
+package rhubarbspool.traffic
+
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.ServerName
+import rhubarbspool.model.ServiceName
+
+/** A copy of the platform's server entries. All times are monotonic milliseconds. */
+class ServerDirectory {
+    private val entries = HashMap<ServerName, BackendEntry>()
+    private val lapsing = HashMap<ServerName, Long>()
+    private var troubledAt = Long.MIN_VALUE / 2
+
+    /** Grows with every change. */
+    var changes: Long = 0
+        private set
+
+    /** All servers that have not gone. */
+    val all: Collection<BackendEntry> get() = entries.values
+
+    /** The entry of [server]; null when it has gone. */
+    operator fun get(server: ServerName): BackendEntry? = entries[server]
+
+    /** Servers of [service] that take new work, outside [evacuated] domains. */
+    fun usable(service: ServiceName, evacuated: Set<FailureDomainName>): List<BackendEntry> =
+        entries.values.filter { it.service == service && it.state == ServerState.READY && it.domain !in evacuated }
+
+    /** Notes that the table failed to answer at [now]. */
+    fun troubled(now: Long) {
+        troubledAt = now
+    }
+
+    /** Takes in [entry]. */
+    fun put(entry: BackendEntry) {
+        lapsing.remove(entry.server)
+        if (entries.put(entry.server, entry) != entry) changes++
+    }
+
+    /** Takes in at [now] that the entry of [server] is gone; true when that counts at once. */
+    fun remove(server: ServerName, now: Long): Boolean {
+        if (server !in entries) return false
+        if (now - troubledAt < LAPSE_MILLISECONDS) {
+            lapsing.putIfAbsent(server, now + LAPSE_MILLISECONDS)
+            return false
+        }
+        return drop(server)
+    }
+
+    /** Takes in at [now] all [present] entries; those that are missing are gone. */
+    fun replace(present: List<BackendEntry>, now: Long) {
+        present.forEach(::put)
+        val names = present.mapTo(HashSet()) { it.server }
+        entries.keys.filter { it !in names }.forEach { remove(it, now) }
+    }
+
+    /** Drops what lapsed and did not come back by [now]. */
+    fun expire(now: Long): List<ServerName> =
+        lapsing.filterValues { it <= now }.keys.toList().onEach(::drop)
+
+    private fun drop(server: ServerName): Boolean {
+        lapsing.remove(server)
+        changes++
+        return entries.remove(server) != null
+    }
+
+    private companion object {
+        /** Living servers register again within about two seconds of the table's return (platform's contract). */
+        const val LAPSE_MILLISECONDS = 2_000L
+    }
+}
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
@@ -0,0 +1,70 @@
+/*
+ * Messages between instances. Times are durations, since clocks of two machines are not compared.
+ */
+package rhubarbspool.entry
+
+import kotlinx.serialization.Serializable
+import rhubarbspool.dispatch.CallOutcome
+import rhubarbspool.dispatch.LoadReport
+import rhubarbspool.dispatch.PoolRefusal
+import rhubarbspool.dispatch.WaitMode
+
+/** A pool: the servers of [service] in [domain], or the one [server] of a sharded service. */
+@Serializable
+data class PoolName(val service: String, val domain: String, val server: String = "")
+
+/** Asks for a slot. */
+@Serializable
+data class AskMessage(
+    val id: Long,
+    val pool: PoolName,
+    val priority: Int,
+    val dueIn: Long,
+    val deadlineIn: Long,
+    val mode: WaitMode,
+    val avoid: List<String> = emptyList(),
+)
+
+/** The answer to an ask; neither [server] nor [refusal] while the request waits. */
+@Serializable
+data class DecisionMessage(
+    val id: Long,
+    val server: String = "",
+    val refusal: PoolRefusal? = null,
+    val retryAfter: Long = 0,
+)
+
+/** How the permit of [id] ended. */
+@Serializable
+data class DoneMessage(
+    val id: Long,
+    val pool: PoolName,
+    val outcome: CallOutcome,
+    val took: Long,
+    val running: Int = -1,
+    val waiting: Int = 0,
+    val percent: Int = 0,
+) {
+    /** The server's load, if it told. */
+    val load: LoadReport? get() = if (running < 0) null else LoadReport(running, waiting, percent)
+}
+
+/** Nobody waits for [id] any more. */
+@Serializable
+data class WithdrawMessage(val id: Long, val pool: PoolName)
+
+/** Versions of the feeds that the sender has read, so that one that fell behind reads again. */
+@Serializable
+data class NewsMessage(val operator: Long, val servers: Long, val shared: Long)
+
+/** One message; exactly one of the first fields is set, news may come with any. */
+@Serializable
+data class PeerMessage(
+    val ask: AskMessage? = null,
+    val decision: DecisionMessage? = null,
+    val done: DoneMessage? = null,
+    val withdraw: WithdrawMessage? = null,
+    val news: NewsMessage? = null,
+    val hello: String = "",
+    val ping: Boolean = false,
+)
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
@@ -0,0 +1,106 @@
+/*
+ * Connections between instances: length-prefixed messages over TCP. A connection that brought nothing for a while,
+ * although an answer is due, is given up, since an open connection may go silent for good.
+ */
+package rhubarbspool.entry
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder
+import io.netty.handler.codec.LengthFieldPrepender
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.protobuf.ProtoBuf
+import rhubarbspool.model.Address
+
+/** Hears what comes over one connection. */
+internal interface PeerListener {
+    fun opened(channel: Channel) = Unit
+
+    fun received(message: PeerMessage)
+
+    fun closed()
+}
+
+/** Opens and accepts connections between instances. */
+internal class PeerTransport(private val group: EventLoopGroup, private val log: DecisionLog) {
+    /** Accepts connections on [address]; each gets a listener of its own from [accept]. */
+    fun listen(address: Address, accept: (Channel) -> PeerListener): Channel = ServerBootstrap().group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) = frames(channel, accept(channel))
+        })
+        .bind(address.host, address.port).sync().channel()
+
+    /** Connects to [address]; [listener] hears that the connection closed also when it never opened. */
+    fun connect(address: Address, listener: PeerListener) {
+        val future = Bootstrap().group(group).channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
+            .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) = frames(channel, listener)
+            })
+            .connect(address.host, address.port)
+        future.addListener { if (!it.isSuccess) listener.closed() }
+    }
+
+    /** Sends [message] over [channel]. */
+    fun send(channel: Channel, message: PeerMessage) {
+        channel.writeAndFlush(Unpooled.wrappedBuffer(encode(message)), channel.voidPromise())
+    }
+
+    private fun frames(channel: SocketChannel, listener: PeerListener) {
+        channel.pipeline().addLast(
+            LengthFieldBasedFrameDecoder(MAXIMUM_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+            LengthFieldPrepender(LENGTH_BYTES),
+            Frames(listener, log),
+        )
+    }
+
+    private class Frames(private val listener: PeerListener, private val log: DecisionLog) :
+        SimpleChannelInboundHandler<ByteBuf>() {
+        override fun channelActive(context: ChannelHandlerContext) = listener.opened(context.channel())
+
+        override fun channelRead0(context: ChannelHandlerContext, frame: ByteBuf) = try {
+            listener.received(decode(ByteBufUtil.getBytes(frame)))
+        } catch (exception: SerializationException) {
+            log.fault("a peer's message can't be read", "peer" to context.channel().remoteAddress(), "cause" to exception)
+            context.close()
+            Unit
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) = listener.closed()
+
+        @Deprecated("Overrides a deprecated method of Netty")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            log.fault("a connection between instances failed", "peer" to context.channel().remoteAddress(), "cause" to cause)
+            context.close()
+        }
+    }
+
+    @OptIn(ExperimentalSerializationApi::class)
+    private companion object {
+        const val LENGTH_BYTES = 4
+        const val MAXIMUM_FRAME_BYTES = 1_048_576
+
+        /** Two round trips between failure domains and some load. */
+        const val CONNECT_MILLISECONDS = 300
+
+        fun encode(message: PeerMessage): ByteArray = ProtoBuf.encodeToByteArray(PeerMessage.serializer(), message)
+
+        fun decode(bytes: ByteArray): PeerMessage = ProtoBuf.decodeFromByteArray(PeerMessage.serializer(), bytes)
+    }
+}
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
@@ -0,0 +1,83 @@
+/*
+ * The platform as the entry process sees it. The adapter implements these interfaces; nothing here knows how the
+ * platform spells anything. All futures complete on the event loop.
+ */
+package rhubarbspool.entry
+
+import rhubarbspool.model.Address
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.ServerName
+import rhubarbspool.ownership.OrderResult
+import rhubarbspool.ownership.OwnershipEffect
+import rhubarbspool.traffic.BackendEntry
+import rhubarbspool.traffic.TrafficConfiguration
+import java.util.concurrent.CompletableFuture
+
+/** A stream of rows that an instance follows. */
+enum class Feed {
+    /** Configurations and evacuations. */
+    OPERATOR,
+
+    /** Entries of backend servers. */
+    SERVERS,
+
+    /** Rows that the instances share among themselves. */
+    SHARED,
+}
+
+/** One decoded row. */
+sealed interface FeedItem {
+    /** The configuration in force. */
+    data class Configuration(val configuration: TrafficConfiguration) : FeedItem
+
+    /** Whether [domain] is to get no new work. */
+    data class Evacuation(val domain: FailureDomainName, val active: Boolean) : FeedItem
+
+    /** The entry of [server]; null when it has gone or names no usable server. */
+    data class Server(val server: ServerName, val entry: BackendEntry?) : FeedItem
+
+    /** A row of the instances' own; [value] is null when it was removed. */
+    data class Shared(val key: String, val version: Long, val value: String?) : FeedItem
+}
+
+/** Rows of a feed up to [version]; [complete] when they are all rows and not only the changed ones. */
+data class FeedPage(val version: Long, val items: List<FeedItem>, val complete: Boolean)
+
+/** One of the instances' own rows. */
+data class SharedRow(val key: String, val version: Long, val value: String)
+
+/** How a conditional write ended; a write without an answer fails its future. */
+sealed interface WriteResult {
+    data class Written(val version: Long) : WriteResult
+
+    /** Another version was found; [current] is the row, if there is one. */
+    data class Conflict(val current: SharedRow?) : WriteResult
+}
+
+/** The platform's table. A call that got no answer, or was refused, fails its future. */
+interface PlatformTable {
+    /** All rows of [feed]. */
+    fun scan(feed: Feed): CompletableFuture<FeedPage>
+
+    /** Rows of [feed] that changed after version [after], as soon as there are any; null when that is too long ago. */
+    fun follow(feed: Feed, after: Long, waitMilliseconds: Long): CompletableFuture<FeedPage?>
+
+    /** The row [key] of those that are not followed; null when there is none. */
+    fun readUnfollowed(key: String): CompletableFuture<SharedRow?>
+
+    /** Writes [value] to [key], null to remove it, if its version is [expected]; 0 means that there is no row. */
+    fun write(key: String, followed: Boolean, expected: Long, value: String?): CompletableFuture<WriteResult>
+}
+
+/** Result of an order to a server, with what the last holder hands over. */
+data class OrderAnswer(val result: OrderResult, val handover: String? = null)
+
+/** Orders to servers about the keys that they hold. */
+interface OwnershipOrders {
+    fun grant(order: OwnershipEffect.Grant, ranges: Int): CompletableFuture<OrderAnswer>
+
+    fun release(order: OwnershipEffect.Release, ranges: Int): CompletableFuture<OrderAnswer>
+
+    /** The server at [address] has ended. */
+    fun forget(address: Address)
+}
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerLinks.kt
@@ -0,0 +1,124 @@
+/*
+ * Connections to backend servers. A connection carries one request at a time. Idle ones are kept for less than the
+ * server's own limit, and one that brings bytes while nothing is asked is closed: they belong to no request.
+ */
+package rhubarbspool.entry
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.util.ReferenceCountUtil
+import rhubarbspool.model.Address
+import java.util.ArrayDeque
+
+/** Opens and keeps connections; used on the event loop only. */
+internal class ServerLinks(private val group: EventLoopGroup, private val clock: () -> Long) {
+    private class Idle(val channel: Channel, val since: Long, val limit: Long)
+
+    private val idle = HashMap<Address, ArrayDeque<Idle>>()
+
+    /** Connections opened so far. */
+    var opened: Long = 0
+        private set
+
+    /** Hands a connection to [address] to [received], null when none can be had; a kept one idle for less than [age]. */
+    fun acquire(address: Address, age: Long, received: (Channel?) -> Unit) {
+        val kept = takeIdle(address, age)
+        if (kept != null) received(kept) else connect(address, received)
+    }
+
+    /** Gives back a connection that the server keeps open for [keptOpen] milliseconds. */
+    fun release(address: Address, channel: Channel, keptOpen: Long) {
+        if (!channel.isActive) return
+        channel.config().isAutoRead = true
+        idle.getOrPut(address) { ArrayDeque() }.addFirst(Idle(channel, clock(), keptOpen * KEPT_PERCENT / PERCENT))
+    }
+
+    /** Closes connections that were idle for too long. */
+    fun closeIdle() {
+        val now = clock()
+        idle.values.forEach { links ->
+            while (links.isNotEmpty() && (now - links.last().since > links.last().limit || !links.last().channel.isActive)) {
+                links.removeLast().channel.close()
+            }
+        }
+        idle.values.removeAll { it.isEmpty() }
+    }
+
+    /** Closes all idle connections to [address]. */
+    fun forget(address: Address) {
+        idle.remove(address)?.forEach { it.channel.close() }
+    }
+
+    private fun takeIdle(address: Address, age: Long): Channel? {
+        val links = idle[address] ?: return null
+        val now = clock()
+        while (links.isNotEmpty()) {
+            val link = links.removeFirst()
+            val fresh = now - link.since <= minOf(link.limit, age)
+            if (link.channel.isActive && fresh) return link.channel
+            link.channel.close()
+        }
+        return null
+    }
+
+    private fun connect(address: Address, received: (Channel?) -> Unit) {
+        opened++
+        val future = Bootstrap().group(group).channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
+            .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(Unasked(), codec())
+                }
+            })
+            .connect(address.host, address.port)
+        future.addListener { received(if (it.isSuccess) future.channel() else null) }
+    }
+
+    private fun codec() = HttpClientCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES)
+
+    /** Closes a connection that brings bytes while no request is under way. */
+    private class Unasked : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (message is ByteBuf && context.pipeline().get(ServerExchange::class.java) == null) {
+                ReferenceCountUtil.release(message)
+                context.close()
+            } else {
+                context.fireChannelRead(message)
+            }
+        }
+
+        @Deprecated("Overrides a deprecated method of Netty")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.fireExceptionCaught(cause)
+            context.close()
+        }
+    }
+
+    companion object {
+        /** Age limit for requests that may be repeated: the server's own limit decides. */
+        const val ANY_AGE: Long = Long.MAX_VALUE
+
+        /** A request that can't be repeated is not sent on a connection that the server may be closing. */
+        const val YOUNG_MILLISECONDS: Long = 3_000
+
+        /** Share of the server's limit for which an idle connection is used. */
+        private const val KEPT_PERCENT = 70
+        private const val PERCENT = 100
+
+        /** Two round trips between failure domains, one lost packet excepted. */
+        private const val CONNECT_MILLISECONDS = 350
+        private const val MAXIMUM_LINE_BYTES = 8_192
+        private const val MAXIMUM_HEADER_BYTES = 32_768
+        private const val MAXIMUM_CHUNK_BYTES = 16_384
+    }
+}
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerRequests.kt
@@ -0,0 +1,68 @@
+/*
+ * A caller's request as a backend server gets it, and the headers of a server's answer as the caller gets them.
+ */
+package rhubarbspool.entry
+
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import rhubarbspool.traffic.BackendEntry
+
+/** A server's load report. */
+internal data class ServerLoad(val running: Int, val waiting: Int, val percent: Int) {
+    companion object {
+        private const val FIELDS = 4
+        private const val USUAL = 100
+
+        /** Reads `running,waiting,slots,percent`; null when [text] is no report. */
+        fun of(text: String?): ServerLoad? {
+            val fields = text?.split(',')?.map { it.trim().toDoubleOrNull()?.toInt() ?: return null } ?: return null
+            if (fields.size < 2) return null
+            return ServerLoad(fields[0], fields[1], fields.getOrElse(FIELDS - 1) { USUAL })
+        }
+    }
+}
+
+/** Translates heads between callers and servers. */
+internal object ServerRequests {
+    private val HOP_BY_HOP = listOf(
+        "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
+        "Transfer-Encoding", "Upgrade", "Expect",
+    )
+    private val BODY_METHODS = setOf("POST", "PUT", "PATCH")
+
+    /** [request] for [entry], which stops work after [remaining] milliseconds. */
+    fun of(request: CallerRequest, entry: BackendEntry, names: HeaderNames, remaining: Long): FullHttpRequest {
+        val headers = endToEnd(request.headers)
+        headers.set(names.timeout, remaining)
+        headers.set(names.target, entry.server.text)
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH)
+        if (request.body.isNotEmpty() || request.method in BODY_METHODS) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        }
+        return DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(request.method),
+            request.target,
+            Unpooled.wrappedBuffer(request.body),
+            headers,
+            DefaultHttpHeaders(),
+        )
+    }
+
+    /** The headers of an answer for the caller. */
+    fun answerHeaders(headers: HttpHeaders, names: HeaderNames): HttpHeaders = endToEnd(headers).remove(names.load)
+
+    private fun endToEnd(headers: HttpHeaders): HttpHeaders {
+        val copy = headers.copy()
+        headers.getAll("Connection").flatMap { it.split(',') }.map(String::trim).filter(String::isNotEmpty)
+            .forEach { copy.remove(it) }
+        HOP_BY_HOP.forEach { copy.remove(it) }
+        return copy
+    }
+}
