Read the table by one instance of a domain, move busy ranges, serve crowded queues from their young end

Change: one reader a failure domain passes rows on; load reports move ranges to idle or faster servers; a crowded pool drops what has the worst prospects and sends the youngest first.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/AttemptPolicy.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/AttemptPolicy.kt
@@ -42,8 +42,8 @@
     /** Less time than this is too short for another try. */
     private const val SHORTEST_TRY_MILLISECONDS = 60L
 
-    /** A key on the move is held by its next owner after a few round trips. */
-    private const val MOVING_MILLISECONDS = 40L
+    /** A key on the move is held by its next owner once the last one's running work has ended. */
+    private const val MOVING_MILLISECONDS = 150L
     private const val FULL_MILLISECONDS = 50L
 
     /** The step after [outcome]; [takeRetry] takes a retry from the budget. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/Pool.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/Pool.kt
@@ -7,8 +7,23 @@
 import rhubarbspool.model.ServerName
 import rhubarbspool.traffic.BackendEntry
 
-/** Decides which request is sent to which server, and when. Not thread-safe. */
-class Pool(private var coldRate: Double? = null) {
+/** How requests that can still be answered in time are ordered. */
+enum class QueueOrder {
+    /** In the order of their due times, whatever waits. */
+    DUE_TIME,
+
+    /** In the order of their due times, and youngest first while too many wait. */
+    ADAPTIVE,
+}
+
+/**
+ * Decides which request is sent to which server, and when. Not thread-safe.
+ *
+ * @param order how requests that can still be answered in time are ordered.
+ */
+class Pool(private val order: QueueOrder = QueueOrder.ADAPTIVE) {
+    private var coldRate: Double? = null
+
     private class Waiting(val ticket: Ticket, val sequence: Long)
 
     private class Out(val ticket: Ticket, val server: ServerName, val since: Long)
@@ -45,11 +60,30 @@
     fun offer(ticket: Ticket, now: Long): List<PoolDecision> {
         val usable = servers.values.filter { it.isFit(now) && it.entry.server !in ticket.avoid }
         if (usable.isEmpty()) return listOf(PoolDecision.Refuse(ticket, PoolRefusal.NO_SERVER, RETRY_MILLISECONDS))
-        val late = now + waitTime(ahead(ticket, now), now) + usual > limitOf(ticket)
-        val mustBeFree = ticket.mode == WaitMode.FREE_SLOT && !hasFree(ticket, now)
-        if (mustBeFree || (late && !hasFree(ticket, now))) return listOf(refuse(ticket, now))
+        if (!hasFree(ticket, now) && isHopeless(ticket, now)) return listOf(refuse(ticket, now))
         waiting += Waiting(ticket, ++sequence)
-        return dispatch(now)
+        return dispatch(now) + makeRoom(ticket, now)
+    }
+
+    private fun isHopeless(ticket: Ticket, now: Long): Boolean = when (ticket.mode) {
+        WaitMode.FREE_SLOT -> true
+        WaitMode.IN_TIME -> now + waitTime(ahead(ticket, now), now) + usual > ticket.dueAt
+        WaitMode.UNTIL_DEADLINE -> now + usual > ticket.deadlineAt
+    }
+
+    /** More requests than can be answered in time are not kept: the one with the worst prospects goes at once. */
+    private fun makeRoom(newest: Ticket, now: Long): List<PoolDecision> {
+        if (waiting.size <= room(newest, now)) return emptyList()
+        val worst = ordered(now).last()
+        waiting.remove(worst)
+        return listOf(refuse(worst.ticket, now))
+    }
+
+    /** How many requests may wait so that the last of them is still answered within a target like [newest]'s. */
+    private fun room(newest: Ticket, now: Long): Int {
+        val slots = servers.values.filter { it.isFit(now) }.sumOf { it.entry.slots }
+        val span = newest.dueAt - now - usual
+        return maxOf(SHORTEST_QUEUE, (span * slots / usual).toInt())
     }
 
     /** Takes in at [now] that the permit of [id] ended with [outcome] after [took] milliseconds. */
@@ -100,8 +134,6 @@
 
     private fun anyFit(ticket: Ticket, now: Long) = servers.values.any { it.isFit(now) && it.entry.server !in ticket.avoid }
 
-    private fun limitOf(ticket: Ticket): Long = if (ticket.mode == WaitMode.IN_TIME) ticket.dueAt else ticket.deadlineAt
-
     private fun refuse(ticket: Ticket, now: Long) = PoolDecision.Refuse(
         ticket,
         if (servers.values.none { it.isFit(now) }) PoolRefusal.NO_SERVER else PoolRefusal.OVERLOADED,
@@ -129,11 +161,7 @@
     private fun dispatch(now: Long): List<PoolDecision> {
         if (waiting.isEmpty()) return emptyList()
         val decisions = ArrayList<PoolDecision>()
-        val ordered = waiting.sortedWith { a, b ->
-            val byRank = compareRanks(rankOf(a.ticket, now), rankOf(b.ticket, now))
-            if (byRank != 0) byRank else a.sequence.compareTo(b.sequence)
-        }
-        ordered.forEach { next ->
+        ordered(now).forEach { next ->
             val server = choose(next.ticket, now)
             if (server != null) {
                 waiting.remove(next)
@@ -145,6 +173,22 @@
         return decisions
     }
 
+    /**
+     * Requests in the order in which they are to be sent. Where more wait than can be answered in time, the youngest
+     * goes first: the order of arrival would make every one of them late.
+     */
+    private fun ordered(now: Long): List<Waiting> {
+        val newest = waiting.maxBy { it.sequence }.ticket
+        val crowded = order == QueueOrder.ADAPTIVE && waiting.size > room(newest, now) * CROWDED_SHARE
+        val direction = if (crowded) -1 else 1
+        return waiting.sortedWith { a, b ->
+            val (first, second) = rankOf(a.ticket, now) to rankOf(b.ticket, now)
+            val byRank = compareValuesBy(first, second, { it.late }, { it.priority })
+            val byDue = direction * first.dueAt.compareTo(second.dueAt)
+            if (byRank != 0) byRank else if (byDue != 0) byDue else direction * a.sequence.compareTo(b.sequence)
+        }
+    }
+
     /** The best free server; a slow one only where waiting for another would not be better. */
     private fun choose(ticket: Ticket, now: Long): PoolServer? {
         val free = servers.values.filter { it.entry.server !in ticket.avoid && it.isFree(now, coldRate) }
@@ -157,17 +201,24 @@
     private data class Rank(val late: Boolean, val priority: Int, val dueAt: Long)
 
     private fun rankOf(ticket: Ticket, now: Long) =
-        Rank(now + usual * SHORTEST_SHARE > ticket.dueAt, ticket.priority, ticket.dueAt)
+        Rank(now + usual * LIKELY_SHARE > ticket.dueAt, ticket.priority, ticket.dueAt)
 
     private fun compareRanks(a: Rank, b: Rank): Int = compareValuesBy(a, b, { it.late }, { it.priority }, { it.dueAt })
 
     private companion object {
         /** Assumed service time before the first answer, in milliseconds. */
         const val FIRST_SERVICE_MILLISECONDS = 200.0
-        const val USUAL_WEIGHT = 0.05
+        const val USUAL_WEIGHT = 0.08
 
         /** Share of the usual time that a lucky request takes; less than that left is hopeless. */
         const val SHORTEST_SHARE = 0.5
+
+        /** Share of the usual time within which most requests are answered; with less left one is taken to be late. */
+        const val LIKELY_SHARE = 0.9
+
+        /** A queue that is fuller than this share of its room is served from its young end. */
+        const val CROWDED_SHARE = 0.5
+        const val SHORTEST_QUEUE = 2
         const val FAULT_PENALTY = 8.0
         const val RETRY_MILLISECONDS = 300L
         const val SHORTEST_RETRY_MILLISECONDS = 50L
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
@@ -119,6 +119,6 @@
 
         /** Reads of those first in line; the others only make sure that somebody does. */
         private val READ_MILLISECONDS = listOf(800L, 2_000L, 4_000L)
-        private const val LAST_READ_MILLISECONDS = 12_000L
+        private const val LAST_READ_MILLISECONDS = 30_000L
     }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
@@ -50,11 +50,15 @@
     var document: OwnershipDocument = document
         private set
 
+    /** What the instances reported of the ranges' load. */
+    val load = RangeLoad(document.ranges)
     private val firstDoubt = if (isNew) startedAt else startedAt + LONGEST_HOLD
     private val holds = Array(document.ranges) { RangeHold(firstDoubt, firstDoubt) }
     private var writing: Map<Int, Owner>? = null
     private var balancedAt = startedAt
     private var renewalCursor = 0
+    private var seenServers = 0
+    private var joinedAt = startedAt
 
     /** Ranges whose owner answered a grant that has not run out at [now]. */
     fun granted(now: Long): Int = holds.count { now - it.grantedAt < HOLD_MILLISECONDS }
@@ -117,13 +121,15 @@
         return Candidate(OwnershipPlan.ownerOf(entry), weight * entry.slots)
     }
 
+    /** Chooses ranges to move for their load; moves that are under way are finished first. */
     private fun balance(candidates: List<Candidate>, owners: Set<Owner>, now: Long) {
         if (now - balancedAt < BALANCE_MILLISECONDS) return
         balancedAt = now
-        val settled = document.ownerOf.indices.all { document.owner(it) in owners && holds[it].target == null }
-        if (!settled) return
-        val current = document.ownerOf.indices.map(document::owner)
-        OwnershipPlan.balance(current, candidates, BALANCE_MOVES).forEach { (range, owner) -> holds[range].target = owner }
+        load.fade(now)
+        val moving = holds.indices.count { holds[it].target != null || document.owner(it) !in owners }
+        if (moving > 0 || candidates.isEmpty()) return
+        val moves = LoadPlan.moves(document, candidates, load, BALANCE_MOVES) { now - holds[it].movedAt > SETTLE_MILLISECONDS }
+        moves.forEach { (range, owner) -> holds[range].target = owner }
     }
 
     private fun write(
@@ -134,7 +140,7 @@
     ): List<OwnershipEffect> {
         if (writing != null || candidates.isEmpty()) return emptyList()
         val free = document.ownerOf.indices.filter { isFree(it, view, owners, now) }
-        if (free.isEmpty()) return emptyList()
+        if (free.isEmpty() || !isComplete(view, now)) return emptyList()
         val aimed = free.mapNotNull { range -> holds[range].target?.takeIf { it in owners }?.let { range to it } }.toMap()
         val current = document.ownerOf.indices.map(document::owner)
         val changes = OwnershipPlan.assign(free - aimed.keys, current, candidates) + aimed
@@ -142,6 +148,15 @@
         return listOf(OwnershipEffect.Write(document.with(changes)))
     }
 
+    /** Before the first assignment the servers that are just starting are waited for: later moves have a price. */
+    private fun isComplete(view: OwnershipView, now: Long): Boolean {
+        if (view.servers.size != seenServers) {
+            seenServers = view.servers.size
+            joinedAt = now
+        }
+        return document.owners.isNotEmpty() || now - joinedAt > JOINING_MILLISECONDS
+    }
+
     /** Whether nobody can hold [range] any more and its owner is to lose it. */
     private fun isFree(range: Int, view: OwnershipView, owners: Set<Owner>, now: Long): Boolean {
         val owner = document.owner(range) ?: return true
@@ -245,8 +260,12 @@
         /** A hold that only has to last until the release that follows. */
         const val FENCING_MILLISECONDS: Long = 1_500
         private const val RETRY_MILLISECONDS = 300L
-        private const val BALANCE_MILLISECONDS = 500L
-        private const val BALANCE_MOVES = 64
+        private const val JOINING_MILLISECONDS = 1_200L
+        private const val BALANCE_MILLISECONDS = 250L
+        private const val BALANCE_MOVES = 16
+
+        /** A range stays where it is for so long, so that its load there shows before it is moved again. */
+        private const val SETTLE_MILLISECONDS = 1_500L
 
         /** A server's clock may run two percent slow (platform's bound); the rest is for the way there. */
         private const val DRIFT_PERCENT = 2
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipDocument.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipDocument.kt
@@ -17,13 +17,19 @@
 /**
  * Owners of all ranges of a service.
  *
+ * @property coordinator the instance that coordinates; load reports go there.
  * @property owners lives that the ranges refer to.
  * @property ownerOf index into [owners] for each range; -1 where nobody owns it.
  * @property fences fencing token of each range; even, so that a holder can be given the odd one after it before it
  * is asked to release.
  */
 @Serializable
-data class OwnershipDocument(val owners: List<Owner>, val ownerOf: List<Int>, val fences: List<Long>) {
+data class OwnershipDocument(
+    val owners: List<Owner>,
+    val ownerOf: List<Int>,
+    val fences: List<Long>,
+    val coordinator: String = "",
+) {
     /** Number of ranges. */
     val ranges: Int get() = ownerOf.size
 
@@ -39,6 +45,7 @@
             lives,
             current.map { owner -> owner?.let(index::getValue) ?: NOBODY },
             fences.mapIndexed { range, fence -> if (range in changes) fence + FENCE_STEP else fence },
+            coordinator,
         )
     }
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipPlan.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipPlan.kt
@@ -1,6 +1,5 @@
 /*
- * Chooses owners. Ranges next to each other go to different servers; a move happens only where a server must give
- * its ranges up, or where shares differ enough to matter.
+ * Chooses owners. Ranges next to each other go to different servers.
  */
 package rhubarbspool.ownership
 
@@ -34,26 +33,6 @@
         return result
     }
 
-    /** Moves, at most [most], that even out shares where the heaviest and the lightest differ too much. */
-    fun balance(current: List<Owner?>, candidates: List<Candidate>, most: Int): Map<Int, Owner> {
-        if (candidates.size < 2) return emptyMap()
-        val shares = shares(current, candidates, emptySet())
-        val byOwner = current.indices.groupBy { current[it] }.mapValues { it.value.toMutableList() }
-        val fair = shares.values.sum() / candidates.sumOf { it.weight }
-        val moves = LinkedHashMap<Int, Owner>()
-        while (moves.size < most) {
-            val heavy = candidates.maxBy { shares.getValue(it.owner) / it.weight }
-            val light = candidates.minBy { shares.getValue(it.owner) / it.weight }
-            val gap = shares.getValue(heavy.owner) / heavy.weight - shares.getValue(light.owner) / light.weight
-            val range = byOwner[heavy.owner]?.removeLastOrNull()
-            if (gap <= maxOf(SMALLEST_GAP, fair * TOLERATED_SHARE) || range == null) break
-            shares.merge(heavy.owner, -1, Int::plus)
-            shares.merge(light.owner, 1, Int::plus)
-            moves[range] = light.owner
-        }
-        return moves
-    }
-
     private fun shares(current: List<Owner?>, candidates: List<Candidate>, without: Set<Int>): HashMap<Owner, Int> {
         val shares = HashMap<Owner, Int>()
         candidates.forEach { shares[it.owner] = 0 }
@@ -64,6 +43,4 @@
     }
 
     private const val SPREAD = 4
-    private const val SMALLEST_GAP = 2.0
-    private const val TOLERATED_SHARE = 0.25
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
@@ -26,6 +26,9 @@
     /** Where the range is to go although its owner is well. */
     var target: Owner? = null
 
+    /** When the range last got a new owner. */
+    var movedAt: Long = LONG_AGO
+
     /** Starts over with a new owner at [now]. */
     fun reassigned(now: Long) {
         grantedAt = LONG_AGO
@@ -33,6 +36,7 @@
         fenced = false
         released = false
         target = null
+        movedAt = now
         mayHoldUntil = now
         unansweredUntil = now
     }
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/placement/ReaderChoice.kt
@@ -0,0 +1,27 @@
+/*
+ * Chooses which instance reads shared data for others: the first in a fixed order that has not failed lately.
+ */
+package rhubarbspool.placement
+
+import rhubarbspool.model.InstanceName
+
+/** Remembers who failed. All times are monotonic milliseconds. */
+class ReaderChoice {
+    private val passedOver = HashMap<InstanceName, Long>()
+
+    /** [instance] failed at [now]. */
+    fun passOver(instance: InstanceName, now: Long) {
+        passedOver[instance] = now + PASSED_OVER_MILLISECONDS
+    }
+
+    /** Whether [instance] failed shortly before [now]. */
+    fun isPassedOver(instance: InstanceName, now: Long): Boolean = (passedOver[instance] ?: now) > now
+
+    /** The first of [ranked] that did not fail shortly before [now]; null when all did. */
+    fun choose(ranked: List<InstanceName>, now: Long): InstanceName? = ranked.firstOrNull { !isPassedOver(it, now) }
+
+    private companion object {
+        /** An instance that failed is tried again after this time. */
+        const val PASSED_OVER_MILLISECONDS = 4_000L
+    }
+}
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
@@ -5,6 +5,7 @@
 package rhubarbspool.entry
 
 import rhubarbspool.model.Now
+import rhubarbspool.model.ServerName
 import rhubarbspool.model.ServiceName
 import rhubarbspool.ownership.CoordinatorLease
 import rhubarbspool.ownership.LeaseStep
@@ -69,6 +70,16 @@
         }
     }
 
+    /** Takes in what an instance saw of a service's load. */
+    fun loaded(report: LoadMessage) {
+        val load = running[ServiceName(report.service)]?.coordinator?.load ?: return
+        val time = now().monotonic
+        report.ranges.forEachIndexed { index, range -> load.requested(range, report.counts[index], time) }
+        report.servers.forEachIndexed { index, server ->
+            load.answered(ServerName(server), report.answers[index], report.milliseconds[index])
+        }
+    }
+
     /** Others come first in a fixed order that the current holder has no part in. */
     private fun rank(): Int {
         val holder = lease.knownHolder?.substringBefore('/')
@@ -118,7 +129,7 @@
     private fun fence(entry: Running, time: Now) {
         if (entry.writing || time.monotonic < entry.retryAt) return
         val known = state.ownership[entry.service]
-        val document = known?.document ?: OwnershipDocument.empty()
+        val document = (known?.document ?: OwnershipDocument.empty()).copy(coordinator = settings.instance.text)
         entry.writing = true
         table.write(entry.key, followed = true, known?.version ?: 0, document.encode()).whenComplete { result, failure ->
             entry.writing = false
@@ -139,7 +150,7 @@
     private fun adopt(entry: Running, conflict: WriteResult.Conflict) {
         val row = conflict.current ?: return
         log.event("owners.conflict", "service" to entry.service, "version" to row.version)
-        state.ownership[entry.service] = VersionedOwnership(row.version, OwnershipDocument.decode(row.value))
+        state.ownership[entry.service] = VersionedOwnership(row.version, OwnershipDocument.decode(row.value.orEmpty()))
     }
 
     private fun view(service: ServiceName, time: Now) = OwnershipView(
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -29,22 +29,27 @@
     private val readyPath: String,
     private val group: EventLoopGroup,
     private val table: PlatformTable,
+    decoder: RowDecoder,
     orders: OwnershipOrders,
 ) : Daemon {
     private val loop = group.next()
     private val clock: () -> Long = ProcessClock::monotonic
-    private val log = DecisionLog(clock)
+    private val log: DecisionLog = DecisionLog(clock)
     private val metrics = Metrics()
     private val counters = EntryMetrics(metrics)
-    private val state = EntryState(log)
+    private val state: EntryState = EntryState(decoder, log)
     private val pools = PoolService(state)
-    private val followers = Feed.entries.associateWith { feed ->
-        FeedFollower(feed, table, state, loop, log, counters, clock) { pools.tick(clock()) }
+    private val followers: Map<Feed, FeedFollower> = Feed.entries.associateWith { feed ->
+        FeedFollower(feed, table, state, loop, log, counters, clock) { from, page -> source.read(from, page) }
     }
     private val transport = PeerTransport(group, log)
+    private val source: RowSource = RowSource(settings, state, followers, transport, log, clock) { flow.learned() }
     private val hub = PeerHub(settings, state, pools, transport, log, clock) { followers.getValue(it).behind() }
+    private val load = LoadCounter(state)
     private val links = ServerLinks(group, clock)
-    private val flow = RequestFlow(FlowContext(settings, names, state, loop, hub, links, counters, log, clock))
+    private val flow: RequestFlow = RequestFlow(
+        FlowContext(settings, names, state, loop, hub, links, counters, load, log, clock),
+    )
     private val coordinator = CoordinatorRunner(settings, state, table, orders, log, ProcessClock::now)
     private val connections = HashSet<CallerConnection>()
     private val listening = ArrayList<Channel>()
@@ -56,9 +61,12 @@
         listening += HttpService(group) { call -> CompletableFuture.completedFuture(readiness(call.path)) }
             .listen(settings.readiness)
         listening += listenToCallers()
-        loop.execute { followers.values.forEach { it.start() } }
+        hub.source = source
+        hub.onLoad = coordinator::loaded
+        loop.execute { source.start() }
         loop.execute { register() }
         loop.scheduleWithFixedDelay(::tick, TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS)
+        loop.scheduleWithFixedDelay(::report, REPORT_MILLISECONDS, REPORT_MILLISECONDS, TimeUnit.MILLISECONDS)
         loop.scheduleWithFixedDelay(::sweep, SWEEP_MILLISECONDS, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS)
         log.event("started", "instance" to settings.instance, "domain" to settings.domain, "callers" to settings.callers)
     }
@@ -101,13 +109,13 @@
     }
 
     private fun isReady(): Boolean =
-        !flow.isStopping && state.configuration != null && followers.getValue(Feed.SERVERS).isKnown
+        !flow.isStopping && state.configuration != null && state.versions[Feed.SERVERS] != null
 
     /** Writes this instance into the shared rows where it does not stand there yet. */
     private fun register() {
         val known = state.members[settings.instance]
         val me = Member(settings.instance, settings.domain, settings.peers)
-        if (followers.getValue(Feed.SHARED).isKnown && known != me) {
+        if (state.versions[Feed.SHARED] != null && known != me) {
             val key = EntryState.MEMBER_PREFIX + settings.instance
             val version = state.memberVersions[settings.instance] ?: 0
             table.write(key, followed = true, version, Json.encodeToString(Member.serializer(), me))
@@ -128,12 +136,15 @@
             val now = clock()
             pools.tick(now)
             hub.tick(now)
+            source.tick(now)
             coordinator.tick()
         } catch (exception: RuntimeException) {
             log.fault("a tick failed", "cause" to exception.stackTraceToString())
         }
     }
 
+    private fun report() = load.flush { instance, message -> hub.report(instance, message, clock()) }
+
     private fun sweep() {
         val now = clock()
         state.directory.expire(now).forEach { log.belief("server", "server" to it, "state" to "lapsed") }
@@ -157,6 +168,9 @@
 
         /** Pace of all decisions that time alone brings about. */
         const val TICK_MILLISECONDS = 20L
+
+        /** Pace of load reports; a hot key shows in two of them. */
+        const val REPORT_MILLISECONDS = 300L
         const val SWEEP_MILLISECONDS = 500L
         const val POLL_MILLISECONDS = 20L
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -24,13 +24,15 @@
 data class VersionedOwnership(val version: Long, val document: OwnershipDocument)
 
 /** The beliefs of one process; changes are made on the event loop only. */
-class EntryState(private val log: DecisionLog) {
+class EntryState(private val decoder: RowDecoder, private val log: DecisionLog) {
     val directory = ServerDirectory()
     val versions = HashMap<Feed, Long>()
     val members = HashMap<InstanceName, Member>()
     val memberVersions = HashMap<InstanceName, Long>()
     val ownership = HashMap<ServiceName, VersionedOwnership>()
     val evacuated = HashSet<FailureDomainName>()
+    private val newestRows = HashMap<Feed, Long>()
+    private val rows = Feed.entries.associateWith { LinkedHashMap<String, TableRow>() }
     var configuration: TrafficConfiguration? = null
         private set
     var routes = RouteIndex(emptyList())
@@ -43,28 +45,37 @@
     /** Servers of [service] that take new work; an evacuated domain's only for owners of keys. */
     fun usable(service: ServiceName): List<BackendEntry> = directory.usable(service, evacuated)
 
-    /** Takes in [page] of [feed] at [now]. */
+    /** Versions of the newest rows; the table's own version also grows with rows of other feeds. */
+    fun news() = NewsMessage(newest(Feed.OPERATOR), newest(Feed.SERVERS), newest(Feed.SHARED))
+
+    private fun newest(feed: Feed): Long = newestRows[feed] ?: 0
+
+    /** All rows of [feed] as they are known here, to be passed on; null before they were read. */
+    fun snapshot(feed: Feed): FeedPage? =
+        versions[feed]?.let { version -> FeedPage(version, rows.getValue(feed).values.toList(), complete = true) }
+
+    /** Takes in [page] of [feed] at [now]; rows that are not newer than known ones change nothing. */
     fun merge(feed: Feed, page: FeedPage, now: Long) {
-        if (page.complete) dropMissing(feed, page, now)
-        page.items.forEach { merge(it, now) }
+        val known = rows.getValue(feed)
+        val items = page.rows.mapNotNull { row -> if (isNews(known, row)) decoder.decode(feed, row, now) else null }
+        if (page.complete && page.version >= (versions[feed] ?: 0)) dropMissing(feed, page, known, now)
+        page.rows.filter { isNews(known, it) }.forEach { known[it.key] = it }
+        newestRows[feed] = maxOf(newest(feed), page.rows.maxOfOrNull { it.version } ?: 0)
+        known.values.removeAll { it.value == null && page.version - it.version > FORGOTTEN_VERSIONS }
+        items.forEach { merge(it, now) }
         versions[feed] = maxOf(versions[feed] ?: 0, page.version)
         changes++
     }
 
-    private fun dropMissing(feed: Feed, page: FeedPage, now: Long) {
-        when (feed) {
-            Feed.SERVERS -> {
-                val present = page.items.filterIsInstance<FeedItem.Server>().mapNotNull { it.entry }
-                directory.replace(present, now)
-            }
-            Feed.OPERATOR -> {
-                val active = page.items.filterIsInstance<FeedItem.Evacuation>().filter { it.active }
-                evacuated.retainAll(active.map { it.domain }.toSet())
-            }
-            Feed.SHARED -> {
-                val keys = page.items.filterIsInstance<FeedItem.Shared>().mapTo(HashSet()) { it.key }
-                members.keys.retainAll { MEMBER_PREFIX + it.text in keys }
-            }
+    private fun isNews(known: Map<String, TableRow>, row: TableRow): Boolean =
+        known[row.key]?.let { it.version < row.version } ?: true
+
+    private fun dropMissing(feed: Feed, page: FeedPage, known: LinkedHashMap<String, TableRow>, now: Long) {
+        val present = page.rows.mapTo(HashSet()) { it.key }
+        val missing = known.values.filter { it.key !in present && it.value != null }
+        missing.forEach { row ->
+            known.remove(row.key)
+            decoder.decode(feed, row.copy(version = page.version, value = null), now)?.let { merge(it, now) }
         }
     }
 
@@ -128,5 +139,8 @@
     companion object {
         const val MEMBER_PREFIX: String = "member/"
         const val OWNERS_PREFIX: String = "owners/"
+
+        /** A removed row is remembered until later versions can't be mistaken for earlier ones. */
+        private const val FORGOTTEN_VERSIONS = 10_000L
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -8,7 +8,7 @@
 import io.netty.channel.EventLoop
 import java.util.concurrent.TimeUnit
 
-/** Keeps [state] up to date with [feed]. */
+/** Reads [feed] while it is active; [received] hears every page while calls fail it tries again with growing pauses. */
 internal class FeedFollower(
     private val feed: Feed,
     private val table: PlatformTable,
@@ -17,25 +17,45 @@
     private val log: DecisionLog,
     private val metrics: EntryMetrics,
     private val clock: () -> Long,
-    private val changed: () -> Unit,
+    private val received: (Feed, FeedPage) -> Unit,
 ) {
     private var round = 0L
     private var startedAt = 0L
     private var failures = 0
-    private var known = false
-    private var troubledSince: Long? = null
 
-    /** Whether the rows have been read once. */
-    val isKnown: Boolean get() = known
+    /** Since when calls have failed; null while they succeed. */
+    var troubledSince: Long? = null
+        private set
 
-    /** Reads all rows and follows their changes. */
-    fun start() = scan()
+    /** Whether this follower reads the table. */
+    var isActive: Boolean = false
+        private set
+
+    /** Reads the rows and follows their changes. */
+    fun start() {
+        if (isActive) return
+        isActive = true
+        if (state.versions[feed] == null) scan() else follow()
+    }
+
+    /** Stops reading; an open call's answer is dropped. */
+    fun stop() {
+        isActive = false
+        troubledSince = null
+        failures = 0
+        round++
+    }
+
+    /** Reads what is new once, without waiting for more. */
+    fun look() {
+        if (!isActive) follow(0)
+    }
 
     /** Another instance knows newer rows. */
     fun behind() {
         if (clock() - startedAt < PATIENCE_MILLISECONDS) return
-        log.event("feed.behind", "feed" to feed, "version" to state.versions[feed])
-        follow()
+        log.event("feed.behind", "feed" to feed, "version" to state.versions[feed], "active" to isActive)
+        if (isActive) follow() else look()
     }
 
     private fun scan() {
@@ -48,10 +68,10 @@
         }
     }
 
-    private fun follow() {
+    private fun follow(wait: Long = WAIT_MILLISECONDS) {
         val mine = ++round
         startedAt = clock()
-        table.follow(feed, state.versions[feed] ?: 0, WAIT_MILLISECONDS).whenComplete { page, failure ->
+        table.follow(feed, state.versions[feed] ?: 0, wait).whenComplete { page, failure ->
             if (mine == round) {
                 when {
                     failure != null -> failed(failure)
@@ -70,14 +90,16 @@
         troubledSince?.let { log.event("table.regained", "feed" to feed, "after" to now - it) }
         troubledSince = null
         failures = 0
-        known = true
-        val quiet = page.items.isEmpty()
-        state.merge(feed, page, now)
-        if (!quiet) changed()
+        val quiet = page.rows.isEmpty()
+        received(feed, page)
+        if (!isActive) return
         val mine = round
-        loop.schedule({ if (mine == round) follow() }, if (quiet) 0 else BATCH_MILLISECONDS, TimeUnit.MILLISECONDS)
+        val pause = if (quiet) 0 else pauseOf(feed)
+        loop.schedule({ if (mine == round) follow() }, pause, TimeUnit.MILLISECONDS)
     }
 
+    private fun pauseOf(feed: Feed): Long = if (feed == Feed.SHARED) SHARED_PAUSE_MILLISECONDS else BATCH_MILLISECONDS
+
     private fun failed(failure: Throwable) {
         val now = clock()
         if (troubledSince == null) {
@@ -86,10 +108,11 @@
         }
         metrics.tableFailed(feed.name)
         if (feed == Feed.SERVERS) state.directory.troubled(now)
+        if (!isActive) return
         val wait = (FIRST_RETRY_MILLISECONDS shl minOf(failures++, MAXIMUM_DOUBLINGS))
         val jitter = (Math.random() * wait).toLong()
         val mine = round
-        val next = if (known) ::follow else ::scan
+        val next = { if (state.versions[feed] == null) scan() else follow() }
         loop.schedule({ if (mine == round) next() }, wait / 2 + jitter, TimeUnit.MILLISECONDS)
     }
 
@@ -98,7 +121,10 @@
         const val WAIT_MILLISECONDS = 20_000L
 
         /** Changes that come within this time of each other share one call; a fifth of the tightest bound is 400 ms. */
-        const val BATCH_MILLISECONDS = 150L
+        const val BATCH_MILLISECONDS = 120L
+
+        /** Owners of keys change in quick steps while keys move. */
+        const val SHARED_PAUSE_MILLISECONDS = 20L
 
         /** A call younger than this is not made anew on other instances' news. */
         const val PATIENCE_MILLISECONDS = 500L
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LoadCounter.kt
@@ -0,0 +1,54 @@
+/*
+ * Counts requests by range and answers by server of sharded services, and reports them to the coordinator.
+ */
+package rhubarbspool.entry
+
+import rhubarbspool.model.InstanceName
+import rhubarbspool.model.ServerName
+import rhubarbspool.model.ServiceName
+
+/** Load of sharded services since the last report. */
+internal class LoadCounter(private val state: EntryState) {
+    private class Answers(var count: Int = 0, var milliseconds: Long = 0)
+
+    private class Counts {
+        val ranges = HashMap<Int, Int>()
+        val servers = HashMap<ServerName, Answers>()
+    }
+
+    private val services = HashMap<ServiceName, Counts>()
+
+    /** A request for [range] of [service] arrived. */
+    fun requested(service: ServiceName, range: Int) {
+        services.getOrPut(service) { Counts() }.ranges.merge(range, 1, Int::plus)
+    }
+
+    /** [server] of [service] answered after [milliseconds]. */
+    fun answered(service: ServiceName, server: ServerName, milliseconds: Long) {
+        val answers = services.getOrPut(service) { Counts() }.servers.getOrPut(server) { Answers() }
+        answers.count++
+        answers.milliseconds += milliseconds
+    }
+
+    /** Hands all counts with the coordinator that they are for to [send] and starts over. */
+    fun flush(send: (InstanceName, LoadMessage) -> Unit) {
+        services.forEach { (service, counts) ->
+            val coordinator = state.ownership[service]?.document?.coordinator
+            if (!coordinator.isNullOrEmpty()) send(InstanceName(coordinator), message(service, counts))
+        }
+        services.clear()
+    }
+
+    private fun message(service: ServiceName, counts: Counts): LoadMessage {
+        val ranges = counts.ranges.entries.toList()
+        val servers = counts.servers.entries.toList()
+        return LoadMessage(
+            service.text,
+            ranges.map { it.key },
+            ranges.map { it.value },
+            servers.map { it.key.text },
+            servers.map { it.value.count },
+            servers.map { it.value.milliseconds },
+        )
+    }
+}
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
@@ -36,6 +36,12 @@
     private val clock: () -> Long,
     private val behind: (Feed) -> Unit,
 ) {
+    /** Passes rows on to those that ask here. */
+    lateinit var source: RowSource
+
+    /** Hears load reports of other instances. */
+    var onLoad: (LoadMessage) -> Unit = {}
+
     private val self = "${settings.instance}/${clock()}"
     private val links = HashMap<Address, PeerLink>()
     private val suspects = HashMap<InstanceName, Long>()
@@ -66,6 +72,12 @@
         return OpenAsk(numbered.id, ask.pool, holder.instance, link, service, self)
     }
 
+    /** Tells [instance] about load at [now]. */
+    fun report(instance: InstanceName, load: LoadMessage, now: Long) {
+        val member = state.members[instance] ?: return
+        if (instance == settings.instance) onLoad(load) else links.getOrPut(member.peers) { link(member) }.tell(load, now)
+    }
+
     /** Forgets the callback of a local question. */
     fun forget(id: Long) {
         local.remove(id)
@@ -102,7 +114,7 @@
         holder.peers,
         self,
         clock,
-        ::news,
+        state::news,
         ::heard,
         { closed -> links.entries.removeAll { it.value === closed } },
     )
@@ -114,14 +126,17 @@
             val now = clock()
             if (message.hello.isNotEmpty()) introduce(message.hello)
             message.news?.let(::heard)
+            message.subscribe?.let { source.subscribed(channel, it) }
+            message.load?.let(onLoad)
             val asker = owner ?: return
             message.ask?.let { service.ask(asker, it, now) }
             message.done?.let { service.done(asker, it, now) }
             message.withdraw?.let { service.withdraw(asker, it, now) }
-            if (message.ping || message.news != null) transport.send(channel, PeerMessage(news = news()))
+            if (message.ping || message.news != null) transport.send(channel, PeerMessage(news = state.news()))
         }
 
         override fun closed() {
+            source.closed(channel)
             owner?.let { service.detach(it, clock()) }
         }
 
@@ -132,16 +147,8 @@
         }
     }
 
-    private fun news() = NewsMessage(
-        state.versions[Feed.OPERATOR] ?: 0,
-        state.versions[Feed.SERVERS] ?: 0,
-        state.versions[Feed.SHARED] ?: 0,
-    )
-
     private fun heard(news: NewsMessage) {
-        if (news.operator > (state.versions[Feed.OPERATOR] ?: 0)) behind(Feed.OPERATOR)
-        if (news.servers > (state.versions[Feed.SERVERS] ?: 0)) behind(Feed.SERVERS)
-        if (news.shared > (state.versions[Feed.SHARED] ?: 0)) behind(Feed.SHARED)
+        Feed.entries.filter { news.of(it) > state.news().of(it) }.forEach(behind)
     }
 
     private companion object {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerLink.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerLink.kt
@@ -45,6 +45,9 @@
         send(PeerMessage(withdraw = withdraw), now)
     }
 
+    /** Sends a load report. */
+    fun tell(load: LoadMessage, now: Long) = send(PeerMessage(load = load), now)
+
     /** Watches for silence at [now]; true when the other side is given up. */
     fun isSilent(now: Long): Boolean {
         if (open.isEmpty()) return false
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
@@ -55,7 +55,38 @@
 
 /** Versions of the feeds that the sender has read, so that one that fell behind reads again. */
 @Serializable
-data class NewsMessage(val operator: Long, val servers: Long, val shared: Long)
+data class NewsMessage(val operator: Long, val servers: Long, val shared: Long) {
+    /** The version of [feed]. */
+    fun of(feed: Feed): Long = when (feed) {
+        Feed.OPERATOR -> operator
+        Feed.SERVERS -> servers
+        Feed.SHARED -> shared
+    }
+}
+
+/** Asks for all news of the platform's table from the versions in [known] on. */
+@Serializable
+data class SubscribeMessage(val known: NewsMessage)
+
+/** Rows of [feed]; [resigns] when the sender can't read the table itself. */
+@Serializable
+data class RowsMessage(val feed: Feed? = null, val page: FeedPage? = null, val resigns: Boolean = false)
+
+/**
+ * What the sender saw of a sharded service since its last report.
+ *
+ * @property ranges ranges with requests, and [counts] of their requests.
+ * @property servers servers that answered, with [answers] and the [milliseconds] that these took.
+ */
+@Serializable
+data class LoadMessage(
+    val service: String,
+    val ranges: List<Int>,
+    val counts: List<Int>,
+    val servers: List<String>,
+    val answers: List<Int>,
+    val milliseconds: List<Long>,
+)
 
 /** One message; exactly one of the first fields is set, news may come with any. */
 @Serializable
@@ -65,6 +96,9 @@
     val done: DoneMessage? = null,
     val withdraw: WithdrawMessage? = null,
     val news: NewsMessage? = null,
+    val subscribe: SubscribeMessage? = null,
+    val rows: RowsMessage? = null,
+    val load: LoadMessage? = null,
     val hello: String = "",
     val ping: Boolean = false,
 )
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
@@ -4,6 +4,7 @@
  */
 package rhubarbspool.entry
 
+import kotlinx.serialization.Serializable
 import rhubarbspool.model.Address
 import rhubarbspool.model.FailureDomainName
 import rhubarbspool.model.ServerName
@@ -40,18 +41,26 @@
     data class Shared(val key: String, val version: Long, val value: String?) : FeedItem
 }
 
+/** A row as the table holds it; [value] is null when it was removed or can't be read. */
+@Serializable
+data class TableRow(val key: String, val version: Long, val value: String? = null)
+
 /** Rows of a feed up to [version]; [complete] when they are all rows and not only the changed ones. */
-data class FeedPage(val version: Long, val items: List<FeedItem>, val complete: Boolean)
+@Serializable
+data class FeedPage(val version: Long, val rows: List<TableRow>, val complete: Boolean)
 
-/** One of the instances' own rows. */
-data class SharedRow(val key: String, val version: Long, val value: String)
+/** Reads rows of a feed. */
+fun interface RowDecoder {
+    /** What [row] of [feed] says at monotonic time [now]; null when it says nothing that can be used. */
+    fun decode(feed: Feed, row: TableRow, now: Long): FeedItem?
+}
 
 /** How a conditional write ended; a write without an answer fails its future. */
 sealed interface WriteResult {
     data class Written(val version: Long) : WriteResult
 
     /** Another version was found; [current] is the row, if there is one. */
-    data class Conflict(val current: SharedRow?) : WriteResult
+    data class Conflict(val current: TableRow?) : WriteResult
 }
 
 /** The platform's table. A call that got no answer, or was refused, fails its future. */
@@ -63,7 +72,7 @@
     fun follow(feed: Feed, after: Long, waitMilliseconds: Long): CompletableFuture<FeedPage?>
 
     /** The row [key] of those that are not followed; null when there is none. */
-    fun readUnfollowed(key: String): CompletableFuture<SharedRow?>
+    fun readUnfollowed(key: String): CompletableFuture<TableRow?>
 
     /** Writes [value] to [key], null to remove it, if its version is [expected]; 0 means that there is no row. */
     fun write(key: String, followed: Boolean, expected: Long, value: String?): CompletableFuture<WriteResult>
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
@@ -22,6 +22,7 @@
     val hub: PeerHub,
     val links: ServerLinks,
     val metrics: EntryMetrics,
+    val load: LoadCounter,
     val log: DecisionLog,
     val clock: () -> Long,
 ) {
@@ -38,6 +39,7 @@
 /** Handles callers' requests. */
 internal class RequestFlow(private val context: FlowContext) : RequestHandler {
     private val split = TrafficSplit()
+    private val waiting = LinkedHashSet<RequestRun>()
 
     /** Requests that have no answer yet. */
     var running: Int = 0
@@ -64,12 +66,20 @@
                 } else {
                     context.allowance(service.name).requested()
                     running++
-                    RequestRun(context, id, request, route, service, turn) { running-- }.start()
+                    val run = RequestRun(context, id, request, route, service, turn) { ended ->
+                        running--
+                        waiting -= ended
+                    }
+                    if (service.sharded) waiting += run
+                    run.start()
                 }
             }
         }
     }
 
+    /** Servers or owners of keys changed: what waits for an owner that has changed asks anew. */
+    fun learned() = waiting.toList().forEach(RequestRun::ownersChanged)
+
     override fun refuse(error: RequestError, turn: CallerTurn) {
         context.log.request("-", "refused", "error" to error.kind, "detail" to error.detail, "version" to context.state.configuration?.version)
         context.metrics.refused(error.kind.name)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestRun.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestRun.kt
@@ -30,7 +30,7 @@
     private val route: TrafficRoute,
     private val service: TrafficService,
     private val turn: CallerTurn,
-    private val ended: () -> Unit,
+    private val ended: (RequestRun) -> Unit,
 ) {
     private val repeatable = route.kind.repeatable
     private val dueAt = request.arrivedAt + route.targetMilliseconds
@@ -46,6 +46,8 @@
     private var over = false
     private var gone = false
     private var timer: Future<*>? = null
+    private var pause: Future<*>? = null
+    private var askedOwner: BackendEntry? = null
 
     private data class Stage(val domain: FailureDomainName, val mode: WaitMode)
 
@@ -57,6 +59,7 @@
         if (service.sharded && (key == null || key !in 0 until OwnershipDocument.KEYS)) {
             fail(RequestError(ErrorKind.KEY_MISSING, "${request.headers.get(context.names.key)}"))
         } else {
+            range()?.let { context.load.requested(service.name, it) }
             begin()
         }
     }
@@ -82,14 +85,32 @@
             fail(RequestError(ErrorKind.NO_OWNER, "key $key", NO_OWNER_MILLISECONDS))
         } else {
             stages = ArrayDeque()
+            askedOwner = owner
             ask(PoolName(service.name.text, owner.domain.text, owner.server.text), WaitMode.UNTIL_DEADLINE)
         }
     }
 
+    /** Owners may have changed: a request that waits for a former owner, or for a new one, asks anew. */
+    fun ownersChanged() {
+        val owner = owner()
+        val moved = owner != null && (owner.server != askedOwner?.server || owner.bornWall != askedOwner?.bornWall)
+        if (over || call != null || !moved) return
+        pause?.cancel(false)
+        pause = null
+        withdraw()
+        begin()
+    }
+
+    /** The range of the key where the service is sharded and has owners. */
+    private fun range(): Int? {
+        val document = context.state.ownership[service.name]?.document
+        return if (document == null || key == null) null else OwnershipDocument.rangeOf(key, document.ranges)
+    }
+
     /** The living owner of the key; null when its life has ended or nobody owns it. */
     private fun owner(): BackendEntry? {
         val document = context.state.ownership[service.name]?.document ?: return null
-        val owner = document.owner(OwnershipDocument.rangeOf(key ?: return null, document.ranges)) ?: return null
+        val owner = document.owner(range() ?: return null) ?: return null
         return context.state.directory[owner.server]?.takeIf { it.bornWall == owner.bornWall }
     }
 
@@ -168,7 +189,11 @@
         when (next) {
             is NextStep.TryAgain -> {
                 context.log.request(id, "retry", "after" to outcome, "runs" to runs, "refusals" to refusals, "remaining" to deadlineAt - now)
-                if (next.delayMilliseconds > 0) after(next.delayMilliseconds) { begin() } else begin()
+                if (next.delayMilliseconds > 0) {
+                    pause = after(next.delayMilliseconds) { begin() }
+                } else {
+                    begin()
+                }
             }
             is NextStep.Fail -> fail(RequestError(next.error, "$outcome", retryAfter))
             NextStep.PassOn -> error("an answer to pass on is handled where it arrives")
@@ -199,7 +224,7 @@
             "version" to context.state.configuration?.version,
         )
         context.log.request(id, "answered", *facts, *fields)
-        ended()
+        ended(this)
     }
 
     private fun deadline() {
@@ -306,7 +331,7 @@
                 context.links.release(entry.address, free, kept)
             }
             exchange = started
-            context.log.request(id, "sent", "server" to entry.server, "domain" to entry.domain, "remaining" to deadlineAt - now, "waited" to now - request.arrivedAt)
+            context.log.request(id, "sent", "server" to entry.server, "domain" to entry.domain, "remaining" to deadlineAt - now, "waited" to now - request.arrivedAt, "key" to key)
             started.start()
         }
 
@@ -318,7 +343,9 @@
             closed = true
             call = null
             val outcome = outcomeOf(head)
-            finishAsk(asked, outcome, context.clock() - sentAt, ServerLoad.of(head.headers.get(context.names.load)))
+            val took = context.clock() - sentAt
+            if (service.sharded && outcome == CallOutcome.ANSWERED) context.load.answered(service.name, entry.server, took)
+            finishAsk(asked, outcome, took, ServerLoad.of(head.headers.get(context.names.load)))
             if (outcome == CallOutcome.SHED || outcome == CallOutcome.MISDIRECTED) {
                 runs--
                 refusals++
