Send a grant only to the life that it is meant for

Ruled out: takeover doubts, late grants (the fuzzer finds neither). Change: before the first grant on a connection the server says who it is; a new life frees a range only if nothing can have reached it; nothing is granted to owners that are not listed.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
@@ -7,6 +7,7 @@
 
 import rhubarbspool.model.Address
 import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.Now
 import rhubarbspool.traffic.BackendEntry
 import rhubarbspool.traffic.ServerState
 
@@ -53,7 +54,7 @@
     /** What the instances reported of the ranges' load. */
     val load = RangeLoad(document.ranges)
     private val firstDoubt = if (isNew) startedAt else startedAt + LONGEST_HOLD
-    private val holds = Array(document.ranges) { RangeHold(firstDoubt, firstDoubt) }
+    private val holds = Array(document.ranges) { RangeHold(firstDoubt, firstDoubt, if (isNew) RangeHold.LONG_AGO else startedAt) }
     private var writing: Map<Int, Owner>? = null
     private var balancedAt = startedAt
     private var renewalCursor = 0
@@ -64,12 +65,12 @@
     fun granted(now: Long): Int = holds.count { now - it.grantedAt < HOLD_MILLISECONDS }
 
     /** Decides at [now] what to do next; at most [calls] calls to servers. */
-    fun tick(view: OwnershipView, calls: Int, now: Long): List<OwnershipEffect> {
+    fun tick(view: OwnershipView, calls: Int, now: Now): List<OwnershipEffect> {
         val eligible = view.servers.filter { it.state == ServerState.READY && it.domain !in view.evacuated }
-        val candidates = eligible.map { candidate(it, now) }
+        val candidates = eligible.map { candidate(it, now.monotonic) }
         val owners = candidates.mapTo(HashSet()) { it.owner }
-        balance(candidates, owners, now)
-        return write(view, candidates, owners, now) + call(view, candidates, owners, calls, now)
+        balance(candidates, owners, now.monotonic)
+        return write(view, candidates, owners, now) + call(view, candidates, owners, calls, now.monotonic)
     }
 
     /** Takes in at [now] the end of a grant that was sent at [sentAt]. */
@@ -79,12 +80,14 @@
         val until = now + stretched(grant.holdMilliseconds)
         when (result) {
             OrderResult.ACCEPTED -> {
+                hold.effectiveAt = maxOf(hold.effectiveAt, now)
                 hold.grantedAt = sentAt
                 hold.mayHoldUntil = maxOf(hold.mayHoldUntil, until)
                 hold.handover = null
                 if (grant.fence % 2 == 1L) hold.fenced = true
             }
             OrderResult.UNANSWERED -> {
+                hold.effectiveAt = maxOf(hold.effectiveAt, now)
                 hold.mayHoldUntil = maxOf(hold.mayHoldUntil, until)
                 hold.unansweredUntil = maxOf(hold.unansweredUntil, until)
             }
@@ -136,11 +139,11 @@
         view: OwnershipView,
         candidates: List<Candidate>,
         owners: Set<Owner>,
-        now: Long,
+        now: Now,
     ): List<OwnershipEffect> {
         if (writing != null || candidates.isEmpty()) return emptyList()
         val free = document.ownerOf.indices.filter { isFree(it, view, owners, now) }
-        if (free.isEmpty() || !isComplete(view, now)) return emptyList()
+        if (free.isEmpty() || !isComplete(view, now.monotonic)) return emptyList()
         val aimed = free.mapNotNull { range -> holds[range].target?.takeIf { it in owners }?.let { range to it } }.toMap()
         val current = document.ownerOf.indices.map(document::owner)
         val changes = OwnershipPlan.assign(free - aimed.keys, current, candidates) + aimed
@@ -158,21 +161,30 @@
     }
 
     /** Whether nobody can hold [range] any more and its owner is to lose it. */
-    private fun isFree(range: Int, view: OwnershipView, owners: Set<Owner>, now: Long): Boolean {
+    private fun isFree(range: Int, view: OwnershipView, owners: Set<Owner>, now: Now): Boolean {
         val owner = document.owner(range) ?: return true
         val hold = holds[range]
         val wanted = owner in owners && (hold.target == null || hold.target !in owners)
         if (wanted && !hold.released) return false
-        val voided = hold.released && (hold.fenced || now >= hold.unansweredUntil)
-        return voided || now >= hold.mayHoldUntil && !hold.calling || isDead(owner, view)
+        val voided = hold.released && (hold.fenced || now.monotonic >= hold.unansweredUntil)
+        return voided || now.monotonic >= hold.mayHoldUntil && !hold.calling || isOver(owner, hold, view, now)
     }
 
     /** Another life at the same address, or a later life under the same name, proves that [owner] has ended. */
-    private fun isDead(owner: Owner, view: OwnershipView): Boolean {
-        val sameAddress = view.addresses[owner.address]
-        val replaced = sameAddress != null && sameAddress.server != owner.server && sameAddress.bornWall > owner.bornWall
+    private fun successor(owner: Owner, view: OwnershipView): BackendEntry? {
+        val sameAddress = view.addresses[owner.address]?.takeIf { it.server != owner.server }
         val sameName = view.servers.firstOrNull { it.server == owner.server }
-        return replaced || (sameName != null && sameName.bornWall > owner.bornWall)
+        return listOfNotNull(sameAddress, sameName).filter { it.bornWall > owner.bornWall }.minByOrNull { it.bornWall }
+    }
+
+    /**
+     * Whether [owner] has ended and nothing that was sent to it can have reached the life that came after it: grants
+     * go to an address and do not name a life.
+     */
+    private fun isOver(owner: Owner, hold: RangeHold, view: OwnershipView, now: Now): Boolean {
+        val next = successor(owner, view) ?: return false
+        val bornAt = now.monotonic - (now.wall - next.bornWall)
+        return !hold.calling && hold.effectiveAt + CLOCK_MARGIN_MILLISECONDS < bornAt
     }
 
     private fun call(
@@ -203,14 +215,13 @@
     ): OwnershipEffect? {
         val owner = document.owner(range) ?: return null
         val hold = holds[range]
-        if (hold.calling || writing?.containsKey(range) == true || isDead(owner, view)) return null
+        if (hold.calling || writing?.containsKey(range) == true || successor(owner, view) != null) return null
         val leaves = owner !in owners && canMove
         val moves = leaves || (hold.target != null && hold.target in owners)
         return when {
-            moves && hold.released -> null
-            moves -> takeBack(range, owner, hold, now)
-            owner !in owners && !isListed(owner, view) -> null
             hold.released -> null
+            moves -> takeBack(range, owner, hold, isListed(owner, view), now)
+            !isListed(owner, view) -> null
             else -> renew(range, owner, hold, view, now)
         }
     }
@@ -218,9 +229,11 @@
     private fun isListed(owner: Owner, view: OwnershipView): Boolean =
         view.servers.any { it.server == owner.server && it.bornWall == owner.bornWall }
 
-    private fun takeBack(range: Int, owner: Owner, hold: RangeHold, now: Long): OwnershipEffect? {
+    /** Nothing is granted to an owner that is not listed any more: another life may be about to start in its place. */
+    private fun takeBack(range: Int, owner: Owner, hold: RangeHold, listed: Boolean, now: Long): OwnershipEffect? {
         if (now - hold.calledAt < RETRY_MILLISECONDS) return null
         val doubtful = now < hold.unansweredUntil && !hold.fenced
+        if (doubtful && !listed) return null
         return called(hold, now) {
             if (doubtful) {
                 OwnershipEffect.Grant(range, owner, document.fences[range] + 1, FENCING_MILLISECONDS, null)
@@ -269,6 +282,8 @@
 
         /** A server's clock may run two percent slow (platform's bound); the rest is for the way there. */
         private const val DRIFT_PERCENT = 2
+        /** Servers' and instances' wall clocks agree within this time. */
+        private const val CLOCK_MARGIN_MILLISECONDS = 1_000L
         private const val TRANSIT_MILLISECONDS = 200L
         private const val PERCENT = 100
         private const val LONGEST_HOLD = LONGEST_GRANT + LONGEST_GRANT * DRIFT_PERCENT / PERCENT + TRANSIT_MILLISECONDS
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
@@ -3,8 +3,14 @@
  */
 package rhubarbspool.ownership
 
-/** State of one range while this process coordinates. All times are monotonic milliseconds. */
-internal class RangeHold(var mayHoldUntil: Long, var unansweredUntil: Long) {
+/**
+ * State of one range while this process coordinates. All times are monotonic milliseconds.
+ *
+ * @property mayHoldUntil until when its owner may hold it by a grant that was sent.
+ * @property unansweredUntil until when a grant without an answer may still take effect.
+ * @property effectiveAt the last time at which a grant may have reached its address.
+ */
+internal class RangeHold(var mayHoldUntil: Long, var unansweredUntil: Long, var effectiveAt: Long) {
     /** When the last answered grant was sent; long ago when there was none. */
     var grantedAt: Long = LONG_AGO
 
@@ -37,6 +43,7 @@
         released = false
         target = null
         movedAt = now
+        effectiveAt = LONG_AGO
         mayHoldUntil = now
         unansweredUntil = now
     }
--- /dev/null
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipFuzzTest.kt
@@ -0,0 +1,32 @@
+/*
+ * No two living servers hold a range at the same time, and fencing tokens rise from server to server, under each kind
+ * of fault and under all of them.
+ */
+package rhubarbspool.ownership
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.longs.shouldBeGreaterThan
+
+class OwnershipFuzzTest : FunSpec({
+    val cases = listOf(
+        "calm" to OwnershipFaults(),
+        "crashes and restarts at the same address" to OwnershipFaults(crash = 0.002),
+        "grants and releases without an answer" to OwnershipFaults(unanswered = 0.1, drain = 0.001),
+        "grants that are carried out late" to OwnershipFaults(late = 0.1, drain = 0.002, evacuate = 0.002),
+        "servers that can't be reached" to OwnershipFaults(cut = 0.002, drain = 0.001),
+        "coordinators that are replaced" to OwnershipFaults(takeover = 0.005, drain = 0.002, unanswered = 0.05),
+        "all" to OwnershipFaults(0.001, 0.05, 0.05, 0.001, 0.001, 0.002, 0.001),
+    )
+
+    cases.forEach { (name, faults) ->
+        test("one holder at a time: $name") {
+            val worlds = (1..SEEDS).map { OwnershipWorld(it, faults).run(LENGTH) }
+            worlds.flatMap { it.violations }.shouldBeEmpty()
+            worlds.sumOf { it.heldSteps } shouldBeGreaterThan 0
+        }
+    }
+})
+
+private const val SEEDS = 30
+private const val LENGTH = 40_000L
--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
@@ -63,6 +63,15 @@
         return answer
     }
 
+    /** Whether a connection to [address] is kept and free. */
+    fun hasIdle(address: Address): Boolean {
+        val channels = idle[address] ?: return false
+        return synchronized(channels) {
+            channels.removeAll { !it.isActive }
+            channels.isNotEmpty()
+        }
+    }
+
     private fun takeIdle(address: Address): Channel? {
         val channels = idle[address] ?: return null
         return synchronized(channels) { generateSequence { channels.pollFirst() }.firstOrNull { it.isActive } }
@@ -95,12 +104,18 @@
     private fun exchange(channel: Channel, address: Address, call: HttpCall, answer: CompletableFuture<HttpAnswer>) {
         val handler = AnswerHandler(address, answer)
         channel.pipeline().addLast(handler)
-        answer.whenComplete { _, failure -> if (failure != null) channel.close() }
+        answer.whenComplete { _, failure -> if (failure != null) reset(channel) }
         channel.writeAndFlush(requestOf(address, call)).addListener {
             if (!it.isSuccess) answer.completeExceptionally(it.cause())
         }
     }
 
+    /** Bytes that are still on their way are dropped, so that a call that was given up does not arrive later. */
+    private fun reset(channel: Channel) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        channel.close()
+    }
+
     private fun requestOf(address: Address, call: HttpCall): DefaultFullHttpRequest {
         val body = Unpooled.copiedBuffer(call.body, Charsets.UTF_8)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.path, body)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
@@ -116,7 +116,7 @@
             if (coordinator == null) {
                 fence(entry, time)
             } else {
-                coordinator.tick(view(service.name, time), CALLS_PER_TICK, time.monotonic)
+                coordinator.tick(view(service.name, time), CALLS_PER_TICK, time)
                     .forEach { carryOut(entry, coordinator, it) }
             }
         }
@@ -161,14 +161,15 @@
     )
 
     private fun carryOut(entry: Running, coordinator: OwnershipCoordinator, effect: OwnershipEffect) = when (effect) {
-        is OwnershipEffect.Grant -> grant(coordinator, effect)
+        is OwnershipEffect.Grant -> grant(entry.service, coordinator, effect)
         is OwnershipEffect.Release -> release(coordinator, effect)
         is OwnershipEffect.Write -> writeDocument(entry, coordinator, effect.document)
     }
 
-    private fun grant(coordinator: OwnershipCoordinator, effect: OwnershipEffect.Grant) {
+    private fun grant(service: ServiceName, coordinator: OwnershipCoordinator, effect: OwnershipEffect.Grant) {
         val sentAt = now().monotonic
-        orders.grant(effect, coordinator.document.ranges).whenComplete { answer, failure ->
+        val healthPath = state.configuration?.services?.get(service)?.healthPath ?: "/"
+        orders.grant(effect, coordinator.document.ranges, healthPath).whenComplete { answer, failure ->
             val result = answer?.result ?: OrderResult.UNANSWERED
             if (result != OrderResult.ACCEPTED) {
                 log.event("grant.failed", "server" to effect.owner.server, "range" to effect.range, "fence" to effect.fence, "result" to result, "cause" to failure?.message)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -48,7 +48,8 @@
 
     /** Reads what is new once, without waiting for more. */
     fun look() {
-        if (!isActive) follow(0)
+        if (isActive) return
+        if (state.versions[feed] == null) scan() else follow(0)
     }
 
     /** Another instance knows newer rows. */
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
@@ -5,7 +5,6 @@
 package rhubarbspool.entry
 
 import kotlinx.serialization.Serializable
-import rhubarbspool.model.Address
 import rhubarbspool.model.FailureDomainName
 import rhubarbspool.model.ServerName
 import rhubarbspool.ownership.OrderResult
@@ -83,10 +82,9 @@
 
 /** Orders to servers about the keys that they hold. */
 interface OwnershipOrders {
-    fun grant(order: OwnershipEffect.Grant, ranges: Int): CompletableFuture<OrderAnswer>
+    /** Sends [order] to its owner and to no other life; [healthPath] is where a server says who it is. */
+    fun grant(order: OwnershipEffect.Grant, ranges: Int, healthPath: String): CompletableFuture<OrderAnswer>
 
+    /** Asks its owner to release a range. */
     fun release(order: OwnershipEffect.Release, ranges: Int): CompletableFuture<OrderAnswer>
-
-    /** The server at [address] has ended. */
-    fun forget(address: Address)
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -28,8 +28,10 @@
     /** Whether this instance reads the table. */
     val isReader: Boolean get() = followers.values.any { it.isActive }
 
-    /** Begins to read. */
-    fun start() = followers.values.forEach { it.start() }
+    private val startedAt = clock()
+
+    /** Begins with the rows that the instances share: they tell who else reads. */
+    fun start() = followers.getValue(Feed.SHARED).look()
 
     /** Takes in what a follower read, and passes it on. */
     fun read(feed: Feed, page: FeedPage) {
@@ -60,7 +62,7 @@
 
     /** Decides at [now] whom to learn from. */
     fun tick(now: Long) {
-        if (state.versions[Feed.SHARED] == null) return
+        if (!isIntroduced(now)) return introduce(now)
         if (isTroubled(now)) resign(now)
         val reader = choice.choose(ranked(), now) ?: settings.instance
         val reads = reader == settings.instance || subscribers.isNotEmpty()
@@ -73,6 +75,16 @@
         }
     }
 
+    /** Whether this instance stands in the shared rows, so that others that start now are seen there as well. */
+    private fun isIntroduced(now: Long): Boolean =
+        settings.instance in state.members || (state.versions[Feed.SHARED] != null && now - startedAt > ALONE_MILLISECONDS)
+
+    private fun introduce(now: Long) {
+        if (now - lookedAt < INTRODUCED_MILLISECONDS) return
+        lookedAt = now
+        followers.getValue(Feed.SHARED).look()
+    }
+
     private fun ranked(): List<InstanceName> {
         val (near, far) = state.members.values.partition { it.domain == settings.domain }
         return listOf(near, far).flatMap { members ->
@@ -151,6 +163,12 @@
         const val SUBJECT = "reader"
         const val PING_MILLISECONDS = 350L
 
+        /** All instances of an installation start within a third of a second of each other. */
+        const val INTRODUCED_MILLISECONDS = 600L
+
+        /** An instance that can't write itself into the shared rows reads by itself after this time. */
+        const val ALONE_MILLISECONDS = 3_000L
+
         /** Three unanswered signs of life; far below the two seconds in which a configuration must be in force. */
         const val SILENCE_MILLISECONDS = 1_100L
 
--- /dev/null
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
@@ -0,0 +1,89 @@
+/*
+ * The surroundings of entry instances on the loopback interface: a store with one configuration, and servers that are
+ * entered there. Every port is one that was free a moment ago.
+ */
+package rhubarbspool.standins.instance
+
+import io.netty.channel.Channel
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import rhubarbspool.edge.HttpHandler
+import rhubarbspool.edge.HttpService
+import rhubarbspool.model.Address
+import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
+
+/** Store and servers; [close] ends them. */
+class InstanceWorld : AutoCloseable {
+    private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+    private val listening = ArrayList<Channel>()
+
+    /** The platform's store. */
+    val store = RowStoreStandIn()
+
+    /** Where the store listens. */
+    val storeAddress: Address = listen(store)
+
+    /** Servers by their ids. */
+    val servers = LinkedHashMap<String, KeyedServerStandIn>()
+
+    /** Starts a server of [service] in [domain] and enters it. */
+    fun server(id: String, service: String, domain: String, sharded: Boolean): KeyedServerStandIn {
+        val server = KeyedServerStandIn(id, sharded)
+        servers[id] = server
+        enter(id, service, domain, listen(server), "ready")
+        return server
+    }
+
+    /** Writes the entry of server [id]. */
+    fun enter(id: String, service: String, domain: String, address: Address, state: String) {
+        val info = """{"service":"$service","version":"v1","zone":"$domain","slots":2}"""
+        val status = """{"state":"$state","seq":1,"warmup_left":"0ms"}"""
+        store.put("servers", id, """{"address":"$address","born":$BORN,"info":$info,"status":$status}""")
+    }
+
+    /** Puts the configuration [version] in force: a safe route to `board`, which is sharded, and an unsafe one to `desk`. */
+    fun configure(version: Int) {
+        val routes = """{"columns":["name","host","prefix","kind","timeout","target_latency","priority","traffic_split","max_attempts","service"],
+            "rows":[["read","host.example","/read/","safe","1200ms","600ms",2,null,2,"board"],
+            ["book","host.example","/book/","unsafe","1500ms","800ms",1,null,2,"desk"]]}"""
+        val services = """{"columns":["name","health_path","max_connections","protocol","tls","warmup","cold_per_s","sharded","warm","grants"],
+            "rows":[["board","/healthz",295,"h1",false,"3s",2.6,true,"3s","rpc"],["desk","/healthz",295,"h1",false,"3s",2.6,null,null,null]]}"""
+        val limits = """{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout":"3000ms","idle_timeout":"15000ms"}"""
+        store.put("op", "config", """{"version":"r$version","routes":$routes,"services":$services,"limits":$limits}""")
+    }
+
+    /** Text of a settings file for the instance [name] in [domain], which listens at [callers] and the ports after it. */
+    fun settings(name: String, domain: String, callers: Address, ready: Address, ports: IntRange): String = """
+        self.node=$name
+        self.zone=$domain
+        network.listen.front=$callers
+        network.listen.ready=$ready
+        network.port_range=${ports.first},${ports.last}
+        network.zones.east=region
+        network.zones.west=region
+        platform.platform.address=$storeAddress
+        terms.bounds.grace=3s
+        terms.bounds.retry_budget_ratio=0.2
+        terms.bounds.retry_budget_slack=50
+        terms.bounds.retry_window=10s
+    """.trimIndent()
+
+    override fun close() {
+        listening.forEach { it.close().awaitUninterruptibly() }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly()
+    }
+
+    private fun listen(handler: HttpHandler): Address {
+        val address = freeAddress()
+        listening += HttpService(group, handler).listen(address)
+        return address
+    }
+
+    companion object {
+        private const val BORN = 1_700_000_000_000L
+
+        /** An address on the loopback interface whose port is free. */
+        fun freeAddress(): Address = ServerSocket(0).use { Address("127.0.0.1", it.localPort) }
+    }
+}
--- /dev/null
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/KeyedServerStandIn.kt
@@ -0,0 +1,104 @@
+/*
+ * Stand-in for a backend server of the users' platform: runs requests, and accepts fenced grants of key ranges.
+ */
+package rhubarbspool.standins.instance
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.long
+import rhubarbspool.edge.HttpAnswer
+import rhubarbspool.edge.HttpCall
+import rhubarbspool.edge.HttpHandler
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+/** How a server misbehaves. */
+enum class ServerFault {
+    NONE,
+
+    /** Requests are run and the connection is closed without an answer. */
+    ANSWER_LOST,
+
+    /** Requests fail. */
+    FAILING,
+
+    /** Requests are refused without being run. */
+    SHEDDING,
+}
+
+/** One server with [id]; holds keys when [sharded]. */
+class KeyedServerStandIn(private val id: String, private val sharded: Boolean, private val workMilliseconds: Long = 2) : HttpHandler {
+    private class Held(val fence: Long, val until: Long)
+
+    private val held = HashMap<IntRange, Held>()
+    private val runs = ArrayList<String>()
+
+    /** What goes wrong now. */
+    @Volatile
+    var fault: ServerFault = ServerFault.NONE
+
+    /** Ids of the requests that were run, in order. */
+    @Synchronized
+    fun runs(): List<String> = runs.toList()
+
+    /** Ranges that the server holds. */
+    @Synchronized
+    fun holds(): Set<IntRange> = held.filterValues { it.until > System.nanoTime() }.keys.toSet()
+
+    @Synchronized
+    override fun handle(call: HttpCall): CompletableFuture<HttpAnswer> = when (call.path) {
+        "/api/grant" -> CompletableFuture.completedFuture(grant(Json.parseToJsonElement(call.body).jsonObject))
+        "/api/release" -> CompletableFuture.completedFuture(release(Json.parseToJsonElement(call.body).jsonObject))
+        "/healthz" -> CompletableFuture.completedFuture(HttpAnswer(OK, mapOf("Rhubarbspool-Instance-Id" to id), ""))
+        else -> request(call)
+    }
+
+    private fun grant(body: JsonObject): HttpAnswer {
+        val range = rangeOf(body)
+        val fence = body.getValue("fence").jsonPrimitive.long
+        if (held.any { (other, hold) -> other.first <= range.last && range.first <= other.last && hold.fence > fence }) {
+            return HttpAnswer(REFUSED, emptyMap(), "")
+        }
+        val time = body.getValue("hold_time").jsonPrimitive.content.removeSuffix("ms").toLong()
+        held[range] = Held(fence, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(time))
+        return HttpAnswer(OK, emptyMap(), "{}")
+    }
+
+    private fun release(body: JsonObject): HttpAnswer {
+        held.remove(rangeOf(body))
+        return HttpAnswer(OK, mapOf("Rhubarbspool-Handover" to "handover-$id"), "{}")
+    }
+
+    private fun rangeOf(body: JsonObject) =
+        body.getValue("from").jsonPrimitive.int..body.getValue("target").jsonPrimitive.int
+
+    private fun request(call: HttpCall): CompletableFuture<HttpAnswer> {
+        val request = call.headers["rhubarbspool-request-id"].orEmpty()
+        val key = call.headers["rhubarbspool-shard-key"]?.toIntOrNull()
+        val isOwner = !sharded || held.any { (range, hold) -> key in range && hold.until > System.nanoTime() }
+        val echo = mapOf("Rhubarbspool-Request-Id" to request, "Rhubarbspool-Server-Load" to "1,0,2,100")
+        val wrongServer = call.headers["rhubarbspool-target-instance"]?.let { it != id } ?: false
+        if (wrongServer || !isOwner) return done(HttpAnswer(MISDIRECTED, echo + NOT_RUN, ""))
+        if (fault == ServerFault.SHEDDING) return done(HttpAnswer(BUSY, echo + NOT_RUN, ""))
+        runs += request
+        if (fault == ServerFault.ANSWER_LOST) return CompletableFuture.failedFuture(IllegalStateException("lost"))
+        val proof = echo + ("Rhubarbspool-Server-Signature" to "proof-$request")
+        val status = if (fault == ServerFault.FAILING) FAILED else OK
+        return done(HttpAnswer(status, proof, "$id ${call.method} ${call.path} ${call.body}"))
+    }
+
+    private fun done(answer: HttpAnswer): CompletableFuture<HttpAnswer> =
+        CompletableFuture<HttpAnswer>().completeOnTimeout(answer, workMilliseconds, TimeUnit.MILLISECONDS)
+
+    private companion object {
+        const val OK = 200
+        const val REFUSED = 409
+        const val MISDIRECTED = 421
+        const val FAILED = 500
+        const val BUSY = 503
+        val NOT_RUN = mapOf("Rhubarbspool-Not-Executed" to "1")
+    }
+}
--- /dev/null
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/RowStoreStandIn.kt
@@ -0,0 +1,184 @@
+/*
+ * Stand-in for the store of the users' platform: rows in tables with conditional writes and feeds of changes, over
+ * HTTP. Faults are set from outside.
+ */
+package rhubarbspool.standins.instance
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import rhubarbspool.edge.HttpAnswer
+import rhubarbspool.edge.HttpCall
+import rhubarbspool.edge.HttpHandler
+import java.util.Base64
+import java.util.TreeMap
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+/** How the store misbehaves. */
+enum class StoreFault {
+    NONE,
+
+    /** Every call is answered 503. */
+    BUSY,
+
+    /** No call is answered. */
+    SILENT,
+
+    /** Connections are closed without an answer. */
+    RESET,
+
+    /** Writes are carried out and not answered. */
+    LOST_WRITES,
+
+    /** Feeds have forgotten their history. */
+    HISTORY_LOST,
+}
+
+/** Rows in memory; thread-safe. */
+class RowStoreStandIn : HttpHandler {
+    private data class Key(val table: String, val key: String) : Comparable<Key> {
+        override fun compareTo(other: Key): Int = compareValuesBy(this, other, Key::table, Key::key)
+    }
+
+    private data class Row(val value: String?, val version: Long)
+
+    private class Waiter(val table: String, val after: Long, val answer: CompletableFuture<HttpAnswer>)
+
+    private val rows = TreeMap<Key, Row>()
+    private val waiters = ArrayList<Waiter>()
+    private var version = 0L
+
+    /** What goes wrong now. */
+    @Volatile
+    var fault: StoreFault = StoreFault.NONE
+
+    /** Calls so far. */
+    var calls: Int = 0
+        private set
+
+    /** Writes [text] to a row, or removes it; returns the row's version. */
+    @Synchronized
+    fun put(table: String, key: String, text: String?): Long {
+        version++
+        rows[Key(table, key)] = Row(text?.let { Base64.getEncoder().encodeToString(it.toByteArray()) }, version)
+        wake()
+        return version
+    }
+
+    /** The text of a row; null when there is none. */
+    @Synchronized
+    fun text(table: String, key: String): String? =
+        rows[Key(table, key)]?.value?.let { String(Base64.getDecoder().decode(it)) }
+
+    override fun handle(call: HttpCall): CompletableFuture<HttpAnswer> {
+        synchronized(this) { calls++ }
+        val write = call.method == "POST"
+        return when (fault) {
+            StoreFault.BUSY -> done(BUSY, "{}")
+            StoreFault.SILENT -> CompletableFuture()
+            StoreFault.RESET -> CompletableFuture.failedFuture(IllegalStateException("reset"))
+            StoreFault.LOST_WRITES -> if (write) CompletableFuture<HttpAnswer>().also { answer(call) } else answer(call)
+            StoreFault.HISTORY_LOST -> if ("feed" in call.path) done(GONE, "{}") else answer(call)
+            StoreFault.NONE -> answer(call)
+        }
+    }
+
+    @Synchronized
+    private fun answer(call: HttpCall): CompletableFuture<HttpAnswer> {
+        val query = call.path.substringAfter('?', "").split('&').filter { '=' in it }
+            .associate { it.substringBefore('=') to it.substringAfter('=') }
+        return when (call.path.substringBefore('?')) {
+            "/api/rows-get" -> done(OK, listing(query).toString())
+            "/api/rows-feed" -> feed(query)
+            "/api/rows-tx" -> transaction(Json.parseToJsonElement(call.body).jsonObject)
+            else -> done(NOT_FOUND, "{}")
+        }
+    }
+
+    private fun listing(query: Map<String, String>): JsonObject {
+        val found = rows.filter { (key, row) ->
+            key.table == query["table"] && key.key >= query["from"].orEmpty() && row.value != null
+        }
+        return page(found.entries.take(query["limit"]?.toInt() ?: Int.MAX_VALUE).associate { it.key to it.value })
+    }
+
+    private fun feed(query: Map<String, String>): CompletableFuture<HttpAnswer> {
+        val waiter = Waiter(query.getValue("table"), query.getValue("after").toLong(), CompletableFuture())
+        val wait = query["wait_ms"]?.toLong() ?: 0
+        waiters += waiter
+        wake()
+        waiter.answer.completeOnTimeout(HttpAnswer(OK, JSON_TYPE, page(emptyMap()).toString()), wait, TimeUnit.MILLISECONDS)
+        return waiter.answer
+    }
+
+    private fun wake() {
+        waiters.removeAll { it.answer.isDone }
+        waiters.toList().forEach { waiter ->
+            val changed = rows.filter { (key, row) -> key.table == waiter.table && row.version > waiter.after }
+            if (changed.isNotEmpty()) {
+                waiters -= waiter
+                waiter.answer.complete(HttpAnswer(OK, JSON_TYPE, page(changed).toString()))
+            }
+        }
+    }
+
+    private fun transaction(body: JsonObject): CompletableFuture<HttpAnswer> {
+        fun key(entry: JsonObject) = Key(entry.getValue("table").jsonPrimitive.content, entry.getValue("key").jsonPrimitive.content)
+        val conditions = body["precondition"]?.jsonArray.orEmpty().map { it.jsonObject }
+        val failed = conditions.any { entry ->
+            val row = rows[key(entry)]?.takeIf { it.value != null }
+            (row?.version ?: 0) != entry.getValue("ver").jsonPrimitive.long
+        }
+        if (failed) {
+            val current = conditions.mapNotNull { entry -> rows[key(entry)]?.let { key(entry) to it } }.toMap()
+            return done(CONFLICT, page(current).toString())
+        }
+        version++
+        body["set_keys"]?.jsonArray.orEmpty().map { it.jsonObject }
+            .forEach { rows[key(it)] = Row(it.getValue("value").jsonPrimitive.content, version) }
+        body["remove"]?.jsonArray.orEmpty().map { it.jsonObject }.forEach { rows[key(it)] = Row(null, version) }
+        wake()
+        return done(OK, buildJsonObject { put("ver", version) }.toString())
+    }
+
+    private fun page(found: Map<Key, Row>): JsonObject = buildJsonObject {
+        put("truncated", JsonPrimitive(false))
+        put("ver", version)
+        put("now", "0ms")
+        put(
+            "rows",
+            buildJsonArray {
+                found.forEach { (key, row) ->
+                    addJsonObject {
+                        put("table", key.table)
+                        put("part", "")
+                        put("key", key.key)
+                        put("ver", row.version)
+                        if (row.value == null) put("deleted", true) else put("value", row.value)
+                    }
+                }
+            },
+        )
+    }
+
+    private fun done(status: Int, body: String): CompletableFuture<HttpAnswer> =
+        CompletableFuture.completedFuture(HttpAnswer(status, JSON_TYPE, body))
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val GONE = 410
+        const val CONFLICT = 412
+        const val BUSY = 503
+        val JSON_TYPE = mapOf("content-type" to "application/json")
+    }
+}
