--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/DrillMain.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/DrillMain.kt
@@ -33,7 +33,7 @@
         listOf("s1", "s2", "s3").forEach { world.server(it, "board", "east", sharded = true) }
         world.server("s4", "desk", "east", sharded = false)
         Files.writeString(file, world.settings("drill", "east", callers, ready, ports..ports + 1))
-        val client = HttpClient.newHttpClient()
+        val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
         val end = System.currentTimeMillis() + PATIENCE_MILLISECONDS
         var served = 0
         while (served < REQUESTS && System.currentTimeMillis() < end) {
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
@@ -45,8 +45,8 @@
     /** Puts the configuration [version] in force: a safe route to `board`, which is sharded, and an unsafe one to `desk`. */
     fun configure(version: Int) {
         val routes = """{"columns":["name","host","prefix","kind","timeout","target_latency","priority","traffic_split","max_attempts","service"],
-            "rows":[["read","host.example","/read/","safe","1200ms","600ms",2,null,2,"board"],
-            ["book","host.example","/book/","unsafe","1500ms","800ms",1,null,2,"desk"]]}"""
+            "rows":[["read","127.0.0.1","/read/","safe","1200ms","600ms",2,null,2,"board"],
+            ["book","127.0.0.1","/book/","unsafe","1500ms","800ms",1,null,2,"desk"]]}"""
         val services = """{"columns":["name","health_path","max_connections","protocol","tls","warmup","cold_per_s","sharded","warm","grants"],
             "rows":[["board","/healthz",295,"h1",false,"3s",2.6,true,"3s","rpc"],["desk","/healthz",295,"h1",false,"3s",2.6,null,null,null]]}"""
         val limits = """{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout":"3000ms","idle_timeout":"15000ms"}"""
