--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
@@ -112,13 +112,13 @@
 
         /** How long the row must be unchanged before another instance writes it: the hold and a tenth. */
         const val TAKEOVER_MILLISECONDS: Long = 2_640
-        private const val RENEWAL_MILLISECONDS = 800L
-        private const val TROUBLED_MILLISECONDS = 1_400L
+        private const val RENEWAL_MILLISECONDS = 1_000L
+        private const val TROUBLED_MILLISECONDS = 1_500L
         private const val RETRY_MILLISECONDS = 250L
         private const val TURN_MILLISECONDS = 350L
 
         /** Reads of those first in line; the others only make sure that somebody does. */
-        private val READ_MILLISECONDS = listOf(800L, 2_000L, 4_000L)
+        private val READ_MILLISECONDS = listOf(1_000L, 5_000L)
         private const val LAST_READ_MILLISECONDS = 30_000L
     }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
@@ -91,6 +91,8 @@
 
     /** A server with less than this part of its fair number of ranges has just joined. */
     private const val JOINED_SHARE = 0.5
-    private const val SMALLEST_GAIN = 0.002
+
+    /** A move costs a moment without service of the range and a write; less gain is not worth it. */
+    private const val SMALLEST_GAIN = 0.01
     private const val TRIED_SERVERS = 3
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
@@ -56,6 +56,7 @@
     private val firstDoubt = if (isNew) startedAt else startedAt + LONGEST_HOLD
     private val holds = Array(document.ranges) { RangeHold(firstDoubt, firstDoubt, if (isNew) RangeHold.LONG_AGO else startedAt) }
     private var writing: Map<Int, Owner>? = null
+    private var wroteAt = startedAt - WRITE_PAUSE_MILLISECONDS
     private var balancedAt = startedAt
     private var renewalCursor = 0
     private var seenServers = 0
@@ -141,13 +142,14 @@
         owners: Set<Owner>,
         now: Now,
     ): List<OwnershipEffect> {
-        if (writing != null || candidates.isEmpty()) return emptyList()
+        if (writing != null || candidates.isEmpty() || now.monotonic - wroteAt < WRITE_PAUSE_MILLISECONDS) return emptyList()
         val free = document.ownerOf.indices.filter { isFree(it, view, owners, now) }
         if (free.isEmpty() || !isComplete(view, now.monotonic)) return emptyList()
         val aimed = free.mapNotNull { range -> holds[range].target?.takeIf { it in owners }?.let { range to it } }.toMap()
         val current = document.ownerOf.indices.map(document::owner)
         val changes = OwnershipPlan.assign(free - aimed.keys, current, candidates) + aimed
         writing = changes
+        wroteAt = now.monotonic
         return listOf(OwnershipEffect.Write(document.with(changes)))
     }
 
@@ -274,6 +276,9 @@
         const val FENCING_MILLISECONDS: Long = 1_500
         private const val RETRY_MILLISECONDS = 300L
         private const val JOINING_MILLISECONDS = 1_200L
+
+        /** Ranges that become free within this time share one write. */
+        private const val WRITE_PAUSE_MILLISECONDS = 80L
         private const val BALANCE_MILLISECONDS = 250L
         private const val BALANCE_MOVES = 16
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
@@ -12,6 +12,7 @@
 class ServerDirectory {
     private val entries = HashMap<ServerName, BackendEntry>()
     private val lapsing = HashMap<ServerName, Long>()
+    private val drainingSince = HashMap<ServerName, Long>()
     private var troubledAt = Long.MIN_VALUE / 2
 
     /** Grows with every change. */
@@ -33,9 +34,13 @@
         troubledAt = now
     }
 
-    /** Takes in [entry]. */
-    fun put(entry: BackendEntry) {
+    /** Since when [server] has been known to drain; null when it does not. */
+    fun drainingSince(server: ServerName): Long? = drainingSince[server]
+
+    /** Takes in [entry] at [now]. */
+    fun put(entry: BackendEntry, now: Long) {
         lapsing.remove(entry.server)
+        if (entry.state == ServerState.DRAINING) drainingSince.putIfAbsent(entry.server, now) else drainingSince.remove(entry.server)
         if (entries.put(entry.server, entry) != entry) changes++
     }
 
@@ -49,19 +54,13 @@
         return drop(server)
     }
 
-    /** Takes in at [now] all [present] entries; those that are missing are gone. */
-    fun replace(present: List<BackendEntry>, now: Long) {
-        present.forEach(::put)
-        val names = present.mapTo(HashSet()) { it.server }
-        entries.keys.filter { it !in names }.forEach { remove(it, now) }
-    }
-
     /** Drops what lapsed and did not come back by [now]. */
     fun expire(now: Long): List<ServerName> =
         lapsing.filterValues { it <= now }.keys.toList().onEach(::drop)
 
     private fun drop(server: ServerName): Boolean {
         lapsing.remove(server)
+        drainingSince.remove(server)
         changes++
         return entries.remove(server) != null
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -101,7 +101,7 @@
 
     private fun server(item: FeedItem.Server, now: Long) {
         val before = directory[item.server]
-        if (item.entry != null) directory.put(item.entry) else directory.remove(item.server, now)
+        if (item.entry != null) directory.put(item.entry, now) else directory.remove(item.server, now)
         val after = directory[item.server]
         if (before?.state != after?.state || before?.bornWall != after?.bornWall) {
             log.belief("server", "server" to item.server, "state" to (after?.state ?: "gone"), "service" to after?.service)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
@@ -77,7 +77,7 @@
         seenChanges = changed
         pools.entries.removeAll { (_, held) -> now - held.usedAt > UNUSED_MILLISECONDS && held.pool.running == 0 }
         pools.forEach { (name, held) ->
-            if (stale) update(name, held.pool, now)
+            if (stale || name.server.isNotEmpty() && state.directory.drainingSince(ServerName(name.server)) != null) update(name, held.pool, now)
             if (held.pool.queued > 0 || held.pool.running > 0) deliver(held.pool.tick(now))
         }
     }
@@ -85,16 +85,16 @@
     private fun update(name: PoolName, pool: Pool, now: Long) {
         val service = ServiceName(name.service)
         val coldRate = state.configuration?.services?.get(service)?.coldRequestsPerSecond
-        deliver(pool.update(entries(name, service), coldRate, now))
+        deliver(pool.update(entries(name, service, now), coldRate, now))
     }
 
-    /** A server of a sharded service goes on with the keys that it still holds while it drains. */
-    private fun entries(name: PoolName, service: ServiceName): List<BackendEntry> =
-        if (name.server.isEmpty()) {
-            state.usable(service).filter { it.domain == FailureDomainName(name.domain) }
-        } else {
-            listOfNotNull(state.directory[ServerName(name.server)]?.takeIf { it.service == service })
-        }
+    /** A server of a sharded service goes on for a moment with the keys that it still holds while it drains. */
+    private fun entries(name: PoolName, service: ServiceName, now: Long): List<BackendEntry> {
+        if (name.server.isEmpty()) return state.usable(service).filter { it.domain == FailureDomainName(name.domain) }
+        val entry = state.directory[ServerName(name.server)]?.takeIf { it.service == service }
+        val draining = entry?.let { state.directory.drainingSince(it.server) }
+        return listOfNotNull(entry?.takeIf { draining == null || now - draining < DRAINING_MILLISECONDS })
+    }
 
     private fun deliver(decisions: List<PoolDecision>) = decisions.forEach { decision ->
         val message = when (decision) {
@@ -106,6 +106,9 @@
     }
 
     private companion object {
+        /** A draining server may get work for two seconds after it said so (platform's bound); the rest is transit. */
+        const val DRAINING_MILLISECONDS = 1_500L
+
         /** A pool that nobody asked for so long is forgotten. */
         const val UNUSED_MILLISECONDS = 15_000L
     }
