--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/AttemptPolicy.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/AttemptPolicy.kt
@@ -51,14 +51,14 @@
         CallOutcome.ANSWERED -> NextStep.PassOn
         CallOutcome.FAULTY -> if (mayRunAgain(state) && takeRetry()) NextStep.TryAgain(0) else NextStep.PassOn
         CallOutcome.SHED, CallOutcome.MISDIRECTED -> refused(outcome, state, takeRetry)
-        CallOutcome.UNREACHABLE ->
-            if (mayAsk(state)) NextStep.TryAgain(delayOf(outcome, state)) else NextStep.Fail(ErrorKind.SERVER_UNREACHABLE)
-        CallOutcome.BROKEN ->
-            if (mayRunAgain(state) && takeRetry()) NextStep.TryAgain(0) else NextStep.Fail(ErrorKind.OUTCOME_UNKNOWN)
-        CallOutcome.CANCELLED ->
-            if (mayAsk(state)) NextStep.TryAgain(0) else NextStep.Fail(ErrorKind.OVERLOADED)
+        CallOutcome.UNREACHABLE -> againOr(ErrorKind.SERVER_UNREACHABLE, mayAsk(state), delayOf(outcome, state))
+        CallOutcome.BROKEN -> againOr(ErrorKind.OUTCOME_UNKNOWN, mayRunAgain(state) && takeRetry())
+        CallOutcome.CANCELLED -> againOr(ErrorKind.OVERLOADED, mayAsk(state))
     }
 
+    private fun againOr(error: ErrorKind, again: Boolean, delay: Long = 0): NextStep =
+        if (again) NextStep.TryAgain(delay) else NextStep.Fail(error)
+
     private fun refused(outcome: CallOutcome, state: AttemptState, takeRetry: () -> Boolean): NextStep = when {
         mayAsk(state) && takeRetry() -> NextStep.TryAgain(delayOf(outcome, state))
         state.runs > 0 -> NextStep.Fail(ErrorKind.OUTCOME_UNKNOWN)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServer.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServer.kt
@@ -60,14 +60,14 @@
     }
 
     /** Takes in the end of a call at [now]. */
-    fun ended(outcome: CallOutcome, took: Long, load: LoadReport?, now: Long) {
+    fun ended(end: CallEnd, now: Long) {
         inFlight = maxOf(0, inFlight - 1)
-        if (load != null) {
-            percent = load.percent
+        if (end.load != null) {
+            percent = end.load.percent
             percentAt = now
         }
-        when (outcome) {
-            CallOutcome.ANSWERED -> answered(took, now)
+        when (end.outcome) {
+            CallOutcome.ANSWERED -> answered(end.took, now)
             CallOutcome.FAULTY -> faultShare += FAULT_WEIGHT * (1 - faultShare)
             CallOutcome.SHED -> {
                 faultShare += FAULT_WEIGHT * (1 - faultShare)
--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServers.kt
@@ -0,0 +1,91 @@
+/*
+ * The servers of a pool together: which of them is best for a request, and how long a request would wait.
+ */
+package rhubarbspool.dispatch
+
+import rhubarbspool.model.ServerName
+import rhubarbspool.traffic.BackendEntry
+
+/** Servers of one pool. Times are milliseconds. */
+internal class PoolServers {
+    private val servers = LinkedHashMap<ServerName, PoolServer>()
+    private var coldRate: Double? = null
+
+    /** Time that a request usually takes. */
+    var usual: Double = FIRST_SERVICE_MILLISECONDS
+        private set
+
+    /** Takes over [entries] at [now]. */
+    fun update(entries: Collection<BackendEntry>, coldRate: Double?, now: Long) {
+        this.coldRate = coldRate
+        servers.keys.retainAll(entries.mapTo(HashSet()) { it.server })
+        entries.forEach { entry ->
+            val known = servers[entry.server]
+            if (known == null || known.entry.bornWall != entry.bornWall) {
+                servers[entry.server] = PoolServer(entry, now)
+            } else {
+                known.entry = entry
+            }
+        }
+    }
+
+    operator fun get(server: ServerName): PoolServer? = servers[server]
+
+    /** Whether any server may get [ticket], now or later. */
+    fun anyFit(ticket: Ticket, now: Long): Boolean =
+        servers.values.any { it.isFit(now) && it.entry.server !in ticket.avoid }
+
+    /** Whether any server takes work at all. */
+    fun anyFit(now: Long): Boolean = servers.values.any { it.isFit(now) }
+
+    /** Whether a server may get [ticket] at once. */
+    fun hasFree(ticket: Ticket, now: Long): Boolean = free(ticket, now).isNotEmpty()
+
+    /** Expected time until one more request after [ahead] others gets a slot. */
+    fun waitTime(ahead: Int, now: Long): Double {
+        val fit = servers.values.filter { it.isFit(now) }
+        val free = fit.count { it.isFree(now, coldRate) }
+        val rate = fit.sumOf { it.entry.slots / it.expected(usual, now) }
+        return when {
+            ahead < free -> 0.0
+            rate <= 0 -> LONG_WAIT_MILLISECONDS
+            else -> (ahead - free + 1) / rate
+        }
+    }
+
+    /** How many requests may wait so that the last of them is still answered within [span] milliseconds. */
+    fun room(span: Long, now: Long): Int {
+        val slots = servers.values.filter { it.isFit(now) }.sumOf { it.entry.slots }
+        return maxOf(SHORTEST_QUEUE, ((span - usual) * slots / usual).toInt())
+    }
+
+    /** The best free server; none when waiting for another one would be better than a slow one. */
+    fun choose(ticket: Ticket, now: Long): PoolServer? {
+        val free = free(ticket, now)
+        val best = free.minByOrNull { it.expected(usual, now) * (1 + FAULT_PENALTY * it.faults) } ?: return null
+        val late = now + best.expected(usual, now) > ticket.dueAt
+        val betterLater = now + usual + waitTime(free.size, now) < ticket.dueAt
+        return best.takeUnless { late && betterLater && servers.size > free.size }
+    }
+
+    /** Takes in that a warm server answered after [took]. */
+    fun answered(took: Long) {
+        usual += USUAL_WEIGHT * (took - usual)
+    }
+
+    private fun free(ticket: Ticket, now: Long): List<PoolServer> =
+        servers.values.filter { it.entry.server !in ticket.avoid && it.isFree(now, coldRate) }
+
+    private companion object {
+        /** Assumed service time before the first answer. */
+        const val FIRST_SERVICE_MILLISECONDS = 200.0
+
+        /** Weight of one answer; about a dozen are remembered. */
+        const val USUAL_WEIGHT = 0.08
+
+        /** A server that fails one request in eight counts as twice as slow. */
+        const val FAULT_PENALTY = 8.0
+        const val SHORTEST_QUEUE = 2
+        const val LONG_WAIT_MILLISECONDS = 10_000.0
+    }
+}
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/RetryAllowance.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/RetryAllowance.kt
@@ -11,33 +11,46 @@
  * @property windowMilliseconds time in which [ratio] and the slack hold.
  */
 class RetryAllowance(private val ratio: Double, private val windowMilliseconds: Long) {
-    private var tokens = 0.0
+    private var earned = 0.0
+    private var spare = 0.0
     private var refilledAt: Long? = null
 
     /** A request arrived. */
     fun requested() {
-        tokens += ratio * USED_SHARE
+        earned = minOf(earned + ratio * EARNED_SHARE, MAXIMUM_EARNED)
     }
 
     /** Takes the token of one retry at [now], where this instance may use [slack] retries a window by itself. */
     fun take(slack: Double, now: Long): Boolean {
         refill(slack, now)
-        if (tokens < 1) return false
-        tokens -= 1
-        return true
+        return when {
+            earned >= 1 -> {
+                earned -= 1
+                true
+            }
+            spare >= 1 -> {
+                spare -= 1
+                true
+            }
+            else -> false
+        }
     }
 
     private fun refill(slack: Double, now: Long) {
-        val share = maxOf(1.0, slack * USED_SHARE)
+        val share = slack * SLACK_SHARE
         val last = refilledAt
         refilledAt = now
-        val added = if (last == null) share else share * (now - last) / windowMilliseconds
-        tokens = minOf(tokens + added, share + MAXIMUM_EARNED)
+        spare = if (last == null) share else minOf(maxOf(1.0, share), spare + share * (now - last) / windowMilliseconds)
     }
 
     private companion object {
-        /** Part of the budget that is used; the rest covers requests that move between instances. */
-        const val USED_SHARE = 0.6
-        const val MAXIMUM_EARNED = 8.0
+        /** Part of the earned retries that is used; the rest covers requests that move between instances. */
+        const val EARNED_SHARE = 0.6
+
+        /** A full bucket and what flows in during one window come to less than the slack. */
+        const val SLACK_SHARE = 0.4
+
+        /** Earned retries that are kept for later. */
+        const val MAXIMUM_EARNED = 2.0
     }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
@@ -51,9 +51,13 @@
         }
     }
 
-    /** Notes that the row is being read at [now]. */
-    fun reading(now: Now) {
-        readAt = now.monotonic
+    /** Notes that [step] was begun at [now]. */
+    fun began(step: LeaseStep, now: Now) {
+        if (step == LeaseStep.READ) readAt = now.monotonic
+        if (step == LeaseStep.WRITE) {
+            pending = now
+            triedAt = now.monotonic
+        }
     }
 
     /** Takes in at [now] that the row names [holder] in [version]; version 0 when there is none. */
@@ -65,12 +69,6 @@
         if (holder != self) heldFrom = null
     }
 
-    /** Notes that a write was sent at [now]. */
-    fun writing(now: Now) {
-        pending = now
-        triedAt = now.monotonic
-    }
-
     /** Takes in that the write succeeded as [version] at [now]. */
     fun written(version: Long, now: Now) {
         heldFrom = pending
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
@@ -51,19 +51,27 @@
             val light = servers.minBy { it.busy }
             val joined = light.ranges.size < fairCount * JOINED_SHARE * light.candidate.weight / USUAL_WEIGHT
             return servers.sortedByDescending { it.busy }.take(TRIED_SERVERS).firstNotNullOfOrNull { heavy ->
-                if (heavy === light || (heavy.busy < BUSY && !joined)) null else move(heavy, mayMove)
+                if (heavy === light || (heavy.busy < BUSY && !joined)) null else move(heavy, smallestGain(heavy, joined), mayMove)
             }
         }
 
         /** A hot range may be best off at the fastest server, though that is not the idlest. */
-        private fun move(heavy: Server, mayMove: (Int) -> Boolean): Pair<Int, Owner>? {
+        private fun move(heavy: Server, gain: Double, mayMove: (Int) -> Boolean): Pair<Int, Owner>? {
             val ranges = heavy.ranges.filter(mayMove)
             val hottest = ranges.maxByOrNull(load::rate) ?: return null
             val light = servers.minBy { it.busy }
             val forHottest = servers.filter { it !== heavy }.minBy { it.busy + it.part(load.rate(hottest)) }
             val usual = ranges.minBy { after(heavy, light, it) }
-            val (range, target) = listOf(usual to light, hottest to forHottest).minBy { after(heavy, it.second, it.first) }
-            if (target === heavy || after(heavy, target, range) > heavy.busy - SMALLEST_GAIN) return null
+            val (range, target) = listOf(usual to light, hottest to forHottest)
+                .minBy { (range, target) -> after(heavy, target, range) }
+            val helps = target !== heavy && after(heavy, target, range) < heavy.busy - gain
+            return if (helps) apply(range, heavy, target) else null
+        }
+
+        private fun smallestGain(heavy: Server, joined: Boolean): Double =
+            if (joined || heavy.busy > CROWDED) 0.0 else SMALLEST_GAIN
+
+        private fun apply(range: Int, heavy: Server, target: Server): Pair<Int, Owner> {
             val rate = load.rate(range)
             heavy.ranges -= range
             heavy.busy -= heavy.part(rate)
@@ -89,6 +97,9 @@
     /** Below this part of its slots in use a server seldom makes anybody wait. */
     private const val BUSY = 0.35
 
+    /** Above this part of its slots in use a server is freed of all that can go, however little it helps. */
+    private const val CROWDED = 0.7
+
     /** A server with less than this part of its fair number of ranges has just joined. */
     private const val JOINED_SHARE = 0.5
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipDocument.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipDocument.kt
@@ -49,6 +49,13 @@
         )
     }
 
+    /**
+     * This document with the next even token for every range: once an owner has taken a grant with it, grants of
+     * earlier coordinators that are still on their way are void.
+     */
+    fun takenOverBy(coordinator: String): OwnershipDocument =
+        copy(fences = fences.map { it + FENCE_STEP }, coordinator = coordinator)
+
     /** This document as text. */
     fun encode(): String = JSON.encodeToString(serializer(), this)
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
@@ -7,10 +7,17 @@
  * State of one range while this process coordinates. All times are monotonic milliseconds.
  *
  * @property mayHoldUntil until when its owner may hold it by a grant that was sent.
- * @property unansweredUntil until when a grant without an answer may still take effect.
+ * @property doubtUntil until when a grant of an earlier coordinator may take effect, unless the owner has taken one
+ * of this coordinator's.
  * @property effectiveAt the last time at which a grant may have reached its address.
  */
-internal class RangeHold(var mayHoldUntil: Long, var unansweredUntil: Long, var effectiveAt: Long) {
+internal class RangeHold(var mayHoldUntil: Long, var doubtUntil: Long, var effectiveAt: Long) {
+    /** Until when a grant with the even token and without an answer may still take effect. */
+    var unansweredUntil: Long = LONG_AGO
+
+    /** Until when a grant with the odd token and without an answer may still take effect. */
+    var fencingUntil: Long = LONG_AGO
+
     /** When the last answered grant was sent; long ago when there was none. */
     var grantedAt: Long = LONG_AGO
 
@@ -35,6 +42,12 @@
     /** When the range last got a new owner. */
     var movedAt: Long = LONG_AGO
 
+    /** Whether a grant with the even token that has no answer, or is not known here, may take effect at [now]. */
+    fun isDoubtful(now: Long): Boolean = !fenced && now < maxOf(doubtUntil, unansweredUntil)
+
+    /** Whether nothing that was sent to the holder can take effect after [now], once it has released. */
+    fun isVoid(now: Long): Boolean = !isDoubtful(now) && now >= fencingUntil
+
     /** Starts over with a new owner at [now]. */
     fun reassigned(now: Long) {
         grantedAt = LONG_AGO
@@ -45,7 +58,9 @@
         movedAt = now
         effectiveAt = LONG_AGO
         mayHoldUntil = now
-        unansweredUntil = now
+        doubtUntil = LONG_AGO
+        unansweredUntil = LONG_AGO
+        fencingUntil = LONG_AGO
     }
 
     companion object {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
@@ -40,18 +40,22 @@
     /** Takes in [entry] at [now]. */
     fun put(entry: BackendEntry, now: Long) {
         lapsing.remove(entry.server)
-        if (entry.state == ServerState.DRAINING) drainingSince.putIfAbsent(entry.server, now) else drainingSince.remove(entry.server)
+        if (entry.state == ServerState.DRAINING) {
+            drainingSince.putIfAbsent(
+                entry.server,
+                now
+            )
+        } else {
+            drainingSince.remove(entry.server)
+        }
         if (entries.put(entry.server, entry) != entry) changes++
     }
 
     /** Takes in at [now] that the entry of [server] is gone; true when that counts at once. */
     fun remove(server: ServerName, now: Long): Boolean {
-        if (server !in entries) return false
-        if (now - troubledAt < LAPSE_MILLISECONDS) {
-            lapsing.putIfAbsent(server, now + LAPSE_MILLISECONDS)
-            return false
-        }
-        return drop(server)
+        val lapses = server in entries && now - troubledAt < LAPSE_MILLISECONDS
+        if (lapses) lapsing.putIfAbsent(server, now + LAPSE_MILLISECONDS)
+        return server in entries && !lapses && drop(server)
     }
 
     /** Drops what lapsed and did not come back by [now]. */
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/dispatch/PoolReplay.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/dispatch/PoolReplay.kt
@@ -81,7 +81,9 @@
         when (decision) {
             is PoolDecision.Permit -> {
                 val mean = pattern.serverMilliseconds[decision.server.text.removePrefix("s").toInt()]
-                val drawn = exp(pattern.spread * random.asJavaRandom().nextGaussian() - pattern.spread * pattern.spread / 2)
+                val drawn = exp(
+                    pattern.spread * random.asJavaRandom().nextGaussian() - pattern.spread * pattern.spread / 2
+                )
                 val took = maxOf(1L, (mean * drawn).toLong())
                 agenda += now + took to Happening.End(decision.ticket.id, took)
             }
@@ -92,12 +94,18 @@
     private fun end(what: Happening.End, now: Long) {
         val waited = now - arrivedAt.getValue(what.id)
         if (waited <= pattern.target) inTime++ else if (waited <= pattern.deadline) late++
-        decided(pool.finished("caller", what.id, CallOutcome.ANSWERED, what.took, null, now), now)
+        decided(pool.finished("caller", what.id, CallEnd(CallOutcome.ANSWERED, what.took), now), now)
     }
 
     private fun entry(index: Int) = BackendEntry(
-        ServerName("s$index"), 1, ServiceName("service"), Address("10.0.0.1", index + 1), FailureDomainName("domain"),
-        2, ServerState.READY, 0,
+        ServerName("s$index"),
+        1,
+        ServiceName("service"),
+        Address("10.0.0.1", index + 1),
+        FailureDomainName("domain"),
+        2,
+        ServerState.READY,
+        0,
     )
 
     private companion object {
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/dispatch/PoolReplayTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/dispatch/PoolReplayTest.kt
@@ -9,10 +9,13 @@
 
 class PoolReplayTest : FunSpec({
     val hotKey = LoadPattern("one hot key", listOf(200.0), { 21.0 }, 600, 1_200, 0.1)
-    val burst = LoadPattern("burst", List(7) { 290.0 }, { now -> if (now in 5_000..9_000) 55.0 else 20.0 }, 800, 1_500, 0.1)
+    val burst =
+        LoadPattern("burst", List(7) { 290.0 }, { now -> if (now in 5_000..9_000) 55.0 else 20.0 }, 800, 1_500, 0.1)
     val calm = LoadPattern("calm", List(6) { 250.0 }, { 18.0 }, 800, 1_500, 0.1)
 
-    fun worth(pattern: LoadPattern, order: QueueOrder) = (1..SEEDS).map { PoolReplay(pattern, it, order).run().worth }.average()
+    fun worth(pattern: LoadPattern, order: QueueOrder) = (1..SEEDS).map {
+        PoolReplay(pattern, it, order).run().worth
+    }.average()
 
     listOf(hotKey, burst).forEach { pattern ->
         test("${pattern.name}: youngest first while crowded is worth more than the order of due times") {
--- /dev/null
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/CoordinatorLeaseTest.kt
@@ -0,0 +1,71 @@
+/*
+ * At most one instance holds the lease at a time, whatever is lost and whoever is suspended.
+ */
+package rhubarbspool.ownership
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import rhubarbspool.model.Now
+
+class CoordinatorLeaseTest : FunSpec({
+    fun now(milliseconds: Long) = Now(milliseconds, WALL + milliseconds)
+
+    fun held(lease: CoordinatorLease, at: Long) {
+        lease.began(LeaseStep.READ, now(at))
+        lease.observed(null, 0, now(at))
+        lease.began(LeaseStep.WRITE, now(at))
+        lease.written(1, now(at + 5))
+    }
+
+    test("a free lease is written by the first in line at once and by the next one later") {
+        val lease = CoordinatorLease("a")
+        lease.next(0, now(0)) shouldBe LeaseStep.READ
+        lease.began(LeaseStep.READ, now(0))
+        lease.observed(null, 0, now(1))
+        lease.next(0, now(1)) shouldBe LeaseStep.WRITE
+        lease.next(1, now(1)) shouldBe LeaseStep.NOTHING
+        lease.next(1, now(400)) shouldBe LeaseStep.WRITE
+    }
+
+    test("the lease counts from when the write was sent") {
+        val lease = CoordinatorLease("a")
+        held(lease, 0)
+        lease.isHeld(now(CoordinatorLease.HOLD_MILLISECONDS - 1)) shouldBe true
+        lease.isHeld(now(CoordinatorLease.HOLD_MILLISECONDS)) shouldBe false
+    }
+
+    test("a holder that was suspended finds its lease ended, though its monotonic clock stood still") {
+        val lease = CoordinatorLease("a")
+        held(lease, 0)
+        lease.isHeld(Now(100, WALL + 100 + 9_000)) shouldBe false
+    }
+
+    test("another instance takes over only after the row has not changed for longer than the hold") {
+        val lease = CoordinatorLease("b")
+        lease.began(LeaseStep.READ, now(0))
+        lease.observed("a", 7, now(0))
+        lease.next(0, now(CoordinatorLease.HOLD_MILLISECONDS)) shouldBe LeaseStep.READ
+        lease.began(LeaseStep.READ, now(CoordinatorLease.HOLD_MILLISECONDS))
+        lease.observed("a", 8, now(CoordinatorLease.HOLD_MILLISECONDS))
+        lease.next(0, now(CoordinatorLease.TAKEOVER_MILLISECONDS + 100)) shouldNotBe LeaseStep.WRITE
+    }
+
+    test("a holder that sees another one stops at once") {
+        val lease = CoordinatorLease("a")
+        held(lease, 0)
+        lease.observed("b", 2, now(100))
+        lease.isHeld(now(100)) shouldBe false
+    }
+
+    test("a write without an answer does not count") {
+        val lease = CoordinatorLease("a")
+        held(lease, 0)
+        lease.began(LeaseStep.WRITE, now(1_000))
+        lease.unwritten()
+        lease.isTroubled(now(1_600)) shouldBe true
+        lease.isHeld(now(CoordinatorLease.HOLD_MILLISECONDS)) shouldBe false
+    }
+})
+
+private const val WALL = 1_000_000_000L
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipWorld.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipWorld.kt
@@ -108,6 +108,7 @@
 
     private fun takeOver() {
         generation++
+        document = document.takenOverBy("$generation")
         coordinator = OwnershipCoordinator(document, now, isNew = document.owners.isEmpty())
     }
 
@@ -163,18 +164,25 @@
     }
 
     private fun accept(life: Life, effect: OwnershipEffect.Grant, arrivedAt: Long): Boolean {
-        if (!life.up) return false
         val known = life.held[effect.range]
-        if (known != null && known.first > effect.fence) return false
         val until = arrivedAt + effect.holdMilliseconds * SLOW_CLOCK / PERCENT
-        if (until <= now) return true
+        val accepted = life.up && (known == null || known.first <= effect.fence)
+        if (accepted && until > now) {
+            checkFence(life, effect)
+            life.held[effect.range] = effect.fence to maxOf(until, known?.second ?: 0)
+        }
+        return accepted
+    }
+
+    private fun checkFence(life: Life, effect: OwnershipEffect.Grant) {
         val highest = seenFences[effect.range]
-        if (highest != null && highest.second != life.entry.server && effect.fence <= highest.first) {
-            violations += "seed $seed at $now: range ${effect.range} was granted with fence ${effect.fence} after $highest"
+        val other = highest != null && highest.second != life.entry.server
+        if (highest != null && other && effect.fence <= highest.first) {
+            violations += "seed $seed at $now: range ${effect.range}: fence ${effect.fence} granted after $highest"
+        }
+        if (highest == null || effect.fence > highest.first) {
+            seenFences[effect.range] = effect.fence to life.entry.server
         }
-        if (highest == null || effect.fence > highest.first) seenFences[effect.range] = effect.fence to life.entry.server
-        life.held[effect.range] = effect.fence to maxOf(until, known?.second ?: 0)
-        return true
     }
 
     private fun release(effect: OwnershipEffect.Release, mine: Int, current: OwnershipCoordinator) {
@@ -191,7 +199,9 @@
         }
     }
 
-    private fun at(address: Address): Life? = lives.firstOrNull { it.up && it.entry.address == address && now >= it.cutUntil }
+    private fun at(address: Address): Life? = lives.firstOrNull {
+        it.up && it.entry.address == address && now >= it.cutUntil
+    }
 
     private fun judge() {
         val holders = HashMap<Int, Life>()
--- /dev/null
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/traffic/ServerDirectoryTest.kt
@@ -0,0 +1,56 @@
+/*
+ * Entries that lapse around an outage of the table are kept for a moment; all others are gone at once.
+ */
+package rhubarbspool.traffic
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import rhubarbspool.model.Address
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.ServerName
+import rhubarbspool.model.ServiceName
+
+class ServerDirectoryTest : FunSpec({
+    val name = ServerName("s")
+    val service = ServiceName("x")
+    val domain = FailureDomainName("d")
+    val entry = BackendEntry(name, 1, service, Address("10.0.0.1", 1), domain, 2, ServerState.READY, 0)
+
+    test("a removal in calm times counts at once") {
+        val directory = ServerDirectory()
+        directory.put(entry, 0)
+        directory.remove(name, 10_000) shouldBe true
+        directory[name] shouldBe null
+    }
+
+    test("a removal right after an outage counts when the server has not come back after two seconds") {
+        val directory = ServerDirectory()
+        directory.put(entry, 0)
+        directory.troubled(10_000)
+        directory.remove(name, 10_500) shouldBe false
+        directory.expire(12_499)
+        directory[name] shouldBe entry
+        directory.expire(12_500)
+        directory[name] shouldBe null
+    }
+
+    test("a server that comes back stays") {
+        val directory = ServerDirectory()
+        directory.put(entry, 0)
+        directory.troubled(10_000)
+        directory.remove(name, 10_500)
+        directory.put(entry, 11_000)
+        directory.expire(20_000)
+        directory[name] shouldBe entry
+    }
+
+    test("draining servers and evacuated domains get no new work") {
+        val directory = ServerDirectory()
+        directory.put(entry, 0)
+        directory.usable(service, emptySet()) shouldBe listOf(entry)
+        directory.usable(service, setOf(domain)) shouldBe emptyList()
+        directory.put(entry.copy(state = ServerState.DRAINING), 500)
+        directory.usable(service, emptySet()) shouldBe emptyList()
+        directory.drainingSince(name) shouldBe 500
+    }
+})
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerServer.kt
@@ -0,0 +1,53 @@
+/*
+ * Listens to callers and knows their connections.
+ */
+package rhubarbspool.entry
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpServerCodec
+
+/** Accepts callers; their requests go to [handler]. */
+internal class CallerServer(
+    private val group: EventLoopGroup,
+    private val context: ProcessContext,
+    private val handler: RequestHandler,
+) {
+    private val connections = HashSet<CallerConnection>()
+
+    /** Open connections. */
+    val count: Int get() = connections.size
+
+    /** Listens; the channel stops listening when it is closed. */
+    fun listen(): Channel = ServerBootstrap().group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                val headerBytes = context.state.configuration?.bounds?.headerBytes ?: DEFAULT_HEADER_BYTES
+                val connection = CallerConnection(handler, context::clock) { connections -= it }
+                connections += connection
+                channel.pipeline().addLast(HttpServerCodec(headerBytes, headerBytes, CHUNK_BYTES), connection)
+            }
+        })
+        .bind(context.settings.callers.host, context.settings.callers.port).sync().channel()
+
+    /** Closes connections that were idle for [milliseconds]; true when none is open. */
+    fun closeIdle(milliseconds: Long): Boolean {
+        val now = context.clock()
+        connections.filter { it.isIdle && now - it.activeAt > milliseconds }.forEach { it.close() }
+        return connections.isEmpty()
+    }
+
+    private companion object {
+        const val DEFAULT_HEADER_BYTES = 16_384
+        const val CHUNK_BYTES = 16_384
+        const val BACKLOG = 512
+    }
+}
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/DecisionLog.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/DecisionLog.kt
@@ -9,15 +9,14 @@
 private val logger = KotlinLogging.logger("rhubarbspool")
 
 /** Writes decisions. */
-class DecisionLog(private val clock: () -> Long) {
+internal class DecisionLog(private val clock: () -> Long) {
     private var second = 0L
     private var lines = 0
     private var dropped = 0L
 
     /** A decision about the request [id]. */
-    fun request(id: String, decision: String, vararg fields: Pair<String, Any?>) {
-        if (!admit()) return
-        write(decision, fields.toList() + ("request" to id))
+    fun request(id: String, decision: String, facts: List<Pair<String, Any?>>) {
+        if (admit()) write(decision, facts + ("request" to id))
     }
 
     /** A change of what this process believes. */
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -4,15 +4,8 @@
  */
 package rhubarbspool.entry
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
-import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
-import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpServerCodec
-import kotlinx.serialization.json.Json
 import rhubarbspool.edge.Daemon
 import rhubarbspool.edge.HttpAnswer
 import rhubarbspool.edge.HttpService
@@ -22,149 +15,117 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
-/** One entry process; [readyPath] is where the platform asks whether it takes callers. */
+/** One entry process. */
 class EntryDaemon(
     private val settings: EntrySettings,
-    names: HeaderNames,
-    private val readyPath: String,
+    private val platform: Platform,
     private val group: EventLoopGroup,
-    private val table: PlatformTable,
-    decoder: RowDecoder,
-    orders: OwnershipOrders,
 ) : Daemon {
     private val loop = group.next()
-    private val clock: () -> Long = ProcessClock::monotonic
-    private val log: DecisionLog = DecisionLog(clock)
+    private val log = DecisionLog(ProcessClock::monotonic)
     private val metrics = Metrics()
-    private val counters = EntryMetrics(metrics)
-    private val state: EntryState = EntryState(decoder, log)
+    private val state = EntryState(platform.decoder, log)
+    private val context = ProcessContext(settings, state, loop, log, EntryMetrics(metrics), ProcessClock::now)
     private val pools = PoolService(state)
-    private val followers: Map<Feed, FeedFollower> = Feed.entries.associateWith { feed ->
-        FeedFollower(feed, table, state, loop, log, counters, clock) { from, page -> source.read(from, page) }
-    }
     private val transport = PeerTransport(group, log)
-    private val source: RowSource = RowSource(settings, state, followers, transport, log, clock) { flow.learned() }
-    private val hub = PeerHub(settings, state, pools, transport, log, clock) { followers.getValue(it).behind() }
+    private val coordinator = CoordinatorRunner(context, platform.table, platform.orders)
+    private val source: RowSource = RowSource(context, transport, platform.table) { learned() }
+    private val events = object : PeerEvents {
+        override fun heard(news: NewsMessage) =
+            Feed.entries.filter { news.of(it) > state.rows(it).newest }.forEach(source::behind)
+
+        override fun loaded(load: LoadMessage) = coordinator.loaded(load)
+    }
+    private val hub = PeerHub(context, pools, transport, events)
+    private val links = ServerLinks(group, context::clock)
     private val load = LoadCounter(state)
-    private val links = ServerLinks(group, clock)
-    private val flow: RequestFlow = RequestFlow(
-        FlowContext(settings, names, state, loop, hub, links, counters, load, log, clock),
-    )
-    private val coordinator = CoordinatorRunner(settings, state, table, orders, log, ProcessClock::now)
-    private val connections = HashSet<CallerConnection>()
+    private val flow = RequestFlow(FlowContext(context, platform.headers, hub, links, load))
+    private val callers = CallerServer(group, context, flow)
     private val listening = ArrayList<Channel>()
 
     /** Starts to listen and to learn. */
     fun start() {
-        listening += hub.listen()
+        listening += PeerServer(context, transport, pools, source.subscribers, events).listen()
         listening += HttpService(group, ObservationHandler(metrics, ::isReady)).listen(settings.metrics)
-        listening += HttpService(group) { call -> CompletableFuture.completedFuture(readiness(call.path)) }
+        listening += HttpService(group) { CompletableFuture.completedFuture(readiness(it.path)) }
             .listen(settings.readiness)
-        listening += listenToCallers()
-        hub.source = source
-        hub.onLoad = coordinator::loaded
-        loop.execute { source.start() }
-        loop.execute { register() }
-        loop.scheduleWithFixedDelay(::tick, TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS)
-        loop.scheduleWithFixedDelay(::report, REPORT_MILLISECONDS, REPORT_MILLISECONDS, TimeUnit.MILLISECONDS)
-        loop.scheduleWithFixedDelay(::sweep, SWEEP_MILLISECONDS, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS)
-        log.event("started", "instance" to settings.instance, "domain" to settings.domain, "callers" to settings.callers)
+        listening += callers.listen()
+        loop.execute(source::start)
+        loop.execute(MemberRow(context, platform.table)::keep)
+        every(TICK_MILLISECONDS, ::tick)
+        every(REPORT_MILLISECONDS) { load.flush { instance, seen -> hub.report(instance, seen, context.clock()) } }
+        every(SWEEP_MILLISECONDS, ::sweep)
+        log.event(
+            "started",
+            "instance" to settings.instance,
+            "domain" to settings.domain,
+            "callers" to settings.callers,
+            "archive" to System.getProperty("java.vm.info"),
+        )
     }
 
     /** Stops in a planned way: no new callers, then what is open is answered, then the rest is closed. */
     override fun stop() {
-        log.event("stopping", "instance" to settings.instance, "connections" to connections.size)
-        val end = clock() + settings.stopMilliseconds
-        onLoop {
+        log.event("stopping", "instance" to settings.instance, "connections" to callers.count)
+        val end = context.clock() + settings.stopMilliseconds
+        loop.submit {
             flow.isStopping = true
             coordinator.stop()
-        }
-        waitUntil(minOf(end, clock() + UNLISTED_MILLISECONDS)) { false }
-        waitUntil(end) {
-            onLoop {
-                connections.filter { it.isIdle && clock() - it.activeAt > QUIET_MILLISECONDS }.forEach { it.close() }
-                connections.isEmpty() && flow.running == 0
-            }
-        }
+        }.get()
+        waitUntil(minOf(end, context.clock() + UNLISTED_MILLISECONDS)) { false }
+        waitUntil(end) { loop.submit<Boolean> { callers.closeIdle(QUIET_MILLISECONDS) && flow.running == 0 }.get() }
         log.event("stopped", "instance" to settings.instance, "open" to flow.running)
     }
 
-    private fun listenToCallers(): Channel = ServerBootstrap().group(group)
-        .channel(NioServerSocketChannel::class.java)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(object : ChannelInitializer<SocketChannel>() {
-            override fun initChannel(channel: SocketChannel) {
-                val headerBytes = state.configuration?.bounds?.headerBytes ?: DEFAULT_HEADER_BYTES
-                val connection = CallerConnection(flow, clock) { connections -= it }
-                connections += connection
-                channel.pipeline().addLast(HttpServerCodec(headerBytes, headerBytes, CHUNK_BYTES), connection)
-            }
-        })
-        .bind(settings.callers.host, settings.callers.port).sync().channel()
+    private fun learned() {
+        pools.tick(context.clock())
+        flow.learned()
+    }
 
     private fun readiness(path: String): HttpAnswer {
-        val ready = path.substringBefore('?') == readyPath && isReady()
+        val ready = path.substringBefore('?') == platform.readyPath && isReady()
         return HttpAnswer(if (ready) OK else UNAVAILABLE, emptyMap(), "")
     }
 
     private fun isReady(): Boolean =
-        !flow.isStopping && state.configuration != null && state.versions[Feed.SERVERS] != null
-
-    /** Writes this instance into the shared rows where it does not stand there yet. */
-    private fun register() {
-        val known = state.members[settings.instance]
-        val me = Member(settings.instance, settings.domain, settings.peers)
-        if (state.versions[Feed.SHARED] != null && known != me) {
-            val key = EntryState.MEMBER_PREFIX + settings.instance
-            val version = state.memberVersions[settings.instance] ?: 0
-            table.write(key, followed = true, version, Json.encodeToString(Member.serializer(), me))
-                .whenComplete { result, failure ->
-                    if (failure != null) log.event("member.unwritten", "cause" to failure.message)
-                    if (result is WriteResult.Conflict) {
-                        state.memberVersions[settings.instance] = result.current?.version ?: 0
-                    }
-                }
-        }
-        val wait = if (known == me) REGISTERED_MILLISECONDS else REGISTER_MILLISECONDS
-        loop.schedule(::register, wait, TimeUnit.MILLISECONDS)
-    }
+        !flow.isStopping && state.configuration != null && state.rows(Feed.SERVERS).version != null
 
-    @Suppress("TooGenericExceptionCaught")
     private fun tick() {
-        try {
-            val now = clock()
-            pools.tick(now)
-            hub.tick(now)
-            source.tick(now)
-            coordinator.tick()
-        } catch (exception: RuntimeException) {
-            log.fault("a tick failed", "cause" to exception.stackTraceToString())
-        }
+        val now = context.clock()
+        pools.tick(now)
+        hub.tick(now)
+        source.tick(now)
+        coordinator.tick()
     }
 
-    private fun report() = load.flush { instance, message -> hub.report(instance, message, clock()) }
-
     private fun sweep() {
-        val now = clock()
-        state.directory.expire(now).forEach { log.belief("server", "server" to it, "state" to "lapsed") }
+        val lapsed = state.directory.expire(context.clock())
+        lapsed.forEach { log.belief("server", "server" to it, "state" to "lapsed") }
+        if (lapsed.isNotEmpty()) learned()
         links.closeIdle()
-        val limit = (state.configuration?.bounds?.idleMilliseconds ?: return) * IDLE_PERCENT / PERCENT
-        connections.filter { it.isIdle && now - it.activeAt > limit }.forEach { it.close() }
+        state.configuration?.let { callers.closeIdle(it.bounds.idleMilliseconds * IDLE_PERCENT / PERCENT) }
     }
 
-    private fun <T> onLoop(action: () -> T): T = loop.submit<T> { action() }.get()
+    /** A fault in one round must not end the rounds. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun every(milliseconds: Long, action: () -> Unit) {
+        val guarded = {
+            try {
+                action()
+            } catch (exception: RuntimeException) {
+                log.fault("a round failed", "cause" to exception.stackTraceToString())
+            }
+        }
+        loop.scheduleWithFixedDelay(guarded, milliseconds, milliseconds, TimeUnit.MILLISECONDS)
+    }
 
     private fun waitUntil(end: Long, condition: () -> Boolean) {
-        while (clock() < end && !condition()) Thread.sleep(POLL_MILLISECONDS)
+        while (context.clock() < end && !condition()) Thread.sleep(POLL_MILLISECONDS)
     }
 
     private companion object {
         const val OK = 200
         const val UNAVAILABLE = 503
-        const val DEFAULT_HEADER_BYTES = 16_384
-        const val CHUNK_BYTES = 16_384
-        const val BACKLOG = 512
 
         /** Pace of all decisions that time alone brings about. */
         const val TICK_MILLISECONDS = 20L
@@ -179,8 +140,6 @@
 
         /** An idle connection is closed after this time without a request while stopping. */
         const val QUIET_MILLISECONDS = 700L
-        const val REGISTER_MILLISECONDS = 300L
-        const val REGISTERED_MILLISECONDS = 5_000L
 
         /** Callers use connections for four fifths of the idle limit; a little over all of it closes none in use. */
         const val IDLE_PERCENT = 110
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryMetrics.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryMetrics.kt
@@ -11,7 +11,11 @@
     private val refusals = metrics.counter("rhubarbspool_refusals", "Answers that the router made up itself", "reason")
     private val outcomes = metrics.counter("rhubarbspool_calls", "Calls to backend servers by their end", "outcome")
     private val seconds = metrics.histogram("rhubarbspool_answer_seconds", "Time from request to answer", "service")
-    private val storeFailures = metrics.counter("rhubarbspool_table_failures", "Failed calls to the platform's table", "feed")
+    private val storeFailures = metrics.counter(
+        "rhubarbspool_table_failures",
+        "Failed calls to the platform's table",
+        "feed"
+    )
 
     fun answered(service: String, status: Int, milliseconds: Long) {
         answers.labelValues(service, "$status").inc()
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntrySettings.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntrySettings.kt
@@ -6,7 +6,6 @@
 import rhubarbspool.model.Address
 import rhubarbspool.model.FailureDomainName
 import rhubarbspool.model.InstanceName
-import rhubarbspool.model.ServerName
 
 /** Settings of one process. Budgets count requests of all instances together. */
 data class EntrySettings(
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -5,23 +5,20 @@
  */
 package rhubarbspool.entry
 
-import io.netty.channel.EventLoop
 import java.util.concurrent.TimeUnit
 
 /** Reads [feed] while it is active; [received] hears every page while calls fail it tries again with growing pauses. */
 internal class FeedFollower(
     private val feed: Feed,
     private val table: PlatformTable,
-    private val state: EntryState,
-    private val loop: EventLoop,
-    private val log: DecisionLog,
-    private val metrics: EntryMetrics,
-    private val clock: () -> Long,
+    private val context: ProcessContext,
     private val received: (Feed, FeedPage) -> Unit,
 ) {
     private var round = 0L
     private var startedAt = 0L
     private var failures = 0
+    private var scannedAt = context.clock()
+    private var historyLostAt = scannedAt - DOUBTFUL_MILLISECONDS
 
     /** Since when calls have failed; null while they succeed. */
     var troubledSince: Long? = null
@@ -35,7 +32,7 @@
     fun start() {
         if (isActive) return
         isActive = true
-        if (state.versions[feed] == null) scan() else follow()
+        if (context.state.rows(feed).version == null) scan() else follow()
     }
 
     /** Stops reading; an open call's answer is dropped. */
@@ -49,19 +46,24 @@
     /** Reads what is new once, without waiting for more. */
     fun look() {
         if (isActive) return
-        if (state.versions[feed] == null) scan() else follow(0)
+        if (context.state.rows(feed).version == null) scan() else follow(0)
     }
 
     /** Another instance knows newer rows. */
     fun behind() {
-        if (clock() - startedAt < PATIENCE_MILLISECONDS) return
-        log.event("feed.behind", "feed" to feed, "version" to state.versions[feed], "active" to isActive)
+        if (context.clock() - startedAt < PATIENCE_MILLISECONDS) return
+        context.log.event(
+            "feed.behind",
+            "feed" to feed,
+            "version" to context.state.rows(feed).version,
+            "active" to isActive
+        )
         if (isActive) follow() else look()
     }
 
     private fun scan() {
         val mine = ++round
-        startedAt = clock()
+        startedAt = context.clock()
         table.scan(feed).whenComplete { page, failure ->
             if (mine == round) {
                 if (failure != null) failed(failure) else merged(page)
@@ -71,15 +73,12 @@
 
     private fun follow(wait: Long = WAIT_MILLISECONDS) {
         val mine = ++round
-        startedAt = clock()
-        table.follow(feed, state.versions[feed] ?: 0, wait).whenComplete { page, failure ->
+        startedAt = context.clock()
+        table.follow(feed, context.state.rows(feed).version ?: 0, wait).whenComplete { page, failure ->
             if (mine == round) {
                 when {
                     failure != null -> failed(failure)
-                    page == null -> {
-                        log.event("feed.history-lost", "feed" to feed, "version" to state.versions[feed])
-                        scan()
-                    }
+                    page == null -> historyLost()
                     else -> merged(page)
                 }
             }
@@ -87,40 +86,64 @@
     }
 
     private fun merged(page: FeedPage) {
-        val now = clock()
-        troubledSince?.let { log.event("table.regained", "feed" to feed, "after" to now - it) }
+        val now = context.clock()
+        troubledSince?.let { context.log.event("table.regained", "feed" to feed, "after" to now - it) }
         troubledSince = null
         failures = 0
         val quiet = page.rows.isEmpty()
         received(feed, page)
-        if (!isActive) return
+        if (page.complete) scannedAt = now
+        if (isActive) goOn(if (quiet) 0 else pauseOf(feed))
+    }
+
+    /** Around a loss of history feeds may have left changes out and reads may be old, so all rows are read repeatedly. */
+    private fun historyLost() {
+        val version = context.state.rows(feed).version
+        context.log.event("feed.history-lost", "feed" to feed, "version" to version)
+        historyLostAt = context.clock()
+        scan()
+    }
+
+    private fun goOn(pause: Long) {
         val mine = round
-        val pause = if (quiet) 0 else pauseOf(feed)
-        loop.schedule({ if (mine == round) follow() }, pause, TimeUnit.MILLISECONDS)
+        val isDoubtful = context.clock() - historyLostAt < DOUBTFUL_MILLISECONDS
+        val interval = if (isDoubtful) DOUBTFUL_SCAN_MILLISECONDS else SCAN_MILLISECONDS
+        val next = {
+            val untilScan = scannedAt + interval - context.clock()
+            if (untilScan <= 0) scan() else follow(minOf(untilScan, WAIT_MILLISECONDS))
+        }
+        context.loop.schedule({ if (mine == round) next() }, pause, TimeUnit.MILLISECONDS)
     }
 
     private fun pauseOf(feed: Feed): Long = if (feed == Feed.SHARED) SHARED_PAUSE_MILLISECONDS else BATCH_MILLISECONDS
 
     private fun failed(failure: Throwable) {
-        val now = clock()
+        val now = context.clock()
         if (troubledSince == null) {
             troubledSince = now
-            log.event("table.lost", "feed" to feed, "cause" to failure.message)
+            context.log.event("table.lost", "feed" to feed, "cause" to failure.message)
         }
-        metrics.tableFailed(feed.name)
-        if (feed == Feed.SERVERS) state.directory.troubled(now)
+        context.metrics.tableFailed(feed.name)
+        if (feed == Feed.SERVERS) context.state.directory.troubled(now)
         if (!isActive) return
         val wait = (FIRST_RETRY_MILLISECONDS shl minOf(failures++, MAXIMUM_DOUBLINGS))
         val jitter = (Math.random() * wait).toLong()
         val mine = round
-        val next = { if (state.versions[feed] == null) scan() else follow() }
-        loop.schedule({ if (mine == round) next() }, wait / 2 + jitter, TimeUnit.MILLISECONDS)
+        val next = { if (context.state.rows(feed).version == null) scan() else follow() }
+        context.loop.schedule({ if (mine == round) next() }, wait / 2 + jitter, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
         /** How long the table may keep a call open without news; its longest is 30 s. */
         const val WAIT_MILLISECONDS = 20_000L
 
+        /** All rows are read this often, in case a change was left out of the feed. */
+        const val SCAN_MILLISECONDS = 12_000L
+
+        /** After a loss of history reads may be several seconds old. */
+        const val DOUBTFUL_MILLISECONDS = 9_000L
+        const val DOUBTFUL_SCAN_MILLISECONDS = 1_300L
+
         /** Changes that come within this time of each other share one call; a fifth of the tightest bound is 400 ms. */
         const val BATCH_MILLISECONDS = 120L
 
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedRows.kt
@@ -0,0 +1,57 @@
+/*
+ * The rows of one feed as they are known here, to tell news from what is known, and to be passed on.
+ */
+package rhubarbspool.entry
+
+/** Rows of one feed. */
+internal class FeedRows {
+    private val missingSince = HashMap<String, Long>()
+    private val rows = LinkedHashMap<String, TableRow>()
+
+    /** Version of the table up to which all rows are known; null before they were read. */
+    var version: Long? = null
+        private set
+
+    /** Version of the newest row; the table's own version also grows with rows of other feeds. */
+    var newest: Long = 0
+        private set
+
+    /** All rows; null before they were read. */
+    fun snapshot(): FeedPage? = version?.let { FeedPage(it, rows.values.toList(), complete = true) }
+
+    /** Takes in [page]; returns the rows that are news, with those that are missing from a complete page as removed. */
+    fun merge(page: FeedPage, now: Long): List<TableRow> {
+        val news = page.rows.filter { row -> rows[row.key]?.let { it.version < row.version } ?: true }
+        val missing = if (page.complete && page.version >= (version ?: 0)) missing(page, now) else emptyList()
+        news.forEach { rows[it.key] = it }
+        missing.forEach { rows.remove(it.key) }
+        rows.values.removeAll { it.value == null && page.version - it.version > FORGOTTEN_VERSIONS }
+        newest = maxOf(newest, page.rows.maxOfOrNull { it.version } ?: 0)
+        version = maxOf(version ?: 0, page.version)
+        return news + missing
+    }
+
+    /**
+     * Known rows that are gone according to [page]. A read may be older than what is known, so a row that is newer than
+     * all rows of the page is gone only if it stays missing.
+     */
+    private fun missing(page: FeedPage, now: Long): List<TableRow> {
+        val present = page.rows.mapTo(HashSet()) { it.key }
+        val newestRead = page.rows.maxOfOrNull { it.version } ?: 0
+        val absent = rows.values.filter { it.key !in present && it.value != null }
+        missingSince.keys.retainAll(absent.mapTo(HashSet()) { it.key })
+        val gone = absent.filter { row ->
+            val since = missingSince.getOrPut(row.key) { now }
+            row.version < newestRead || now - since >= OLD_READ_MILLISECONDS
+        }
+        return gone.map { it.copy(version = page.version, value = null) }
+    }
+
+    private companion object {
+        /** Reads are at most so old. */
+        const val OLD_READ_MILLISECONDS = 7_000L
+
+        /** A removed row is remembered until no page that is older than its removal can be on its way. */
+        const val FORGOTTEN_VERSIONS = 10_000L
+    }
+}
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseKeeper.kt
@@ -0,0 +1,74 @@
+/*
+ * Keeps or seeks the coordinator's lease at the platform's table.
+ */
+package rhubarbspool.entry
+
+import rhubarbspool.model.Now
+import rhubarbspool.ownership.CoordinatorLease
+import rhubarbspool.ownership.LeaseStep
+import rhubarbspool.placement.Rendezvous
+
+/** Carries out the steps of the lease. */
+internal class LeaseKeeper(private val context: ProcessContext, private val table: PlatformTable) {
+    private val self = "${context.settings.instance}/${context.now().wall}"
+    private val lease = CoordinatorLease(self)
+
+    /** The holder that was last seen and the version of its row. */
+    val seen: Pair<String?, Long> get() = lease.knownHolder to lease.condition
+
+    /** Whether this instance holds the lease at [now]. */
+    fun isHeld(now: Now): Boolean = lease.isHeld(now)
+
+    /** Whether the table does not confirm the lease at [now]. */
+    fun isTroubled(now: Now): Boolean = lease.isTroubled(now)
+
+    /** Takes the next step at [now]. */
+    fun tick(now: Now) {
+        val step = lease.next(rank(), now)
+        lease.began(step, now)
+        when (step) {
+            LeaseStep.READ -> read()
+            LeaseStep.WRITE -> write()
+            LeaseStep.NOTHING -> Unit
+        }
+    }
+
+    /** Gives the lease up, so that another instance need not wait for its end. */
+    fun release() {
+        lease.drop()
+        table.write(KEY, followed = false, lease.condition, null).whenComplete { _, failure ->
+            if (failure != null) context.log.event("coordinator.not-released", "cause" to failure.message)
+        }
+    }
+
+    /** Others come first in a fixed order that the current holder has no part in. */
+    private fun rank(): Int {
+        val holder = lease.knownHolder?.substringBefore('/')
+        val others = context.state.shared.members.values.filter { it.instance.text != holder }
+        val order = Rendezvous.order(KEY, others) { it.instance.text }
+        return order.indexOfFirst { it.instance == context.settings.instance }.let { if (it < 0) order.size else it }
+    }
+
+    private fun read() {
+        table.readUnfollowed(KEY).whenComplete { row, failure ->
+            if (failure == null) lease.observed(row?.value, row?.version ?: 0, context.now())
+        }
+    }
+
+    private fun write() {
+        table.write(KEY, followed = false, lease.condition, self).whenComplete { result, failure ->
+            when {
+                failure != null -> lease.unwritten()
+                result is WriteResult.Written -> lease.written(result.version, context.now())
+                result is WriteResult.Conflict -> {
+                    lease.unwritten()
+                    lease.observed(result.current?.value, result.current?.version ?: 0, context.now())
+                }
+            }
+        }
+    }
+
+    private companion object {
+        const val KEY = "coordinator"
+    }
+}
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LoadCounter.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LoadCounter.kt
@@ -6,6 +6,7 @@
 import rhubarbspool.model.InstanceName
 import rhubarbspool.model.ServerName
 import rhubarbspool.model.ServiceName
+import rhubarbspool.traffic.TrafficService
 
 /** Load of sharded services since the last report. */
 internal class LoadCounter(private val state: EntryState) {
@@ -19,13 +20,14 @@
     private val services = HashMap<ServiceName, Counts>()
 
     /** A request for [range] of [service] arrived. */
-    fun requested(service: ServiceName, range: Int) {
-        services.getOrPut(service) { Counts() }.ranges.merge(range, 1, Int::plus)
+    fun requested(service: TrafficService, range: Int) {
+        services.getOrPut(service.name) { Counts() }.ranges.merge(range, 1, Int::plus)
     }
 
     /** [server] of [service] answered after [milliseconds]. */
-    fun answered(service: ServiceName, server: ServerName, milliseconds: Long) {
-        val answers = services.getOrPut(service) { Counts() }.servers.getOrPut(server) { Answers() }
+    fun answered(service: TrafficService, server: ServerName, milliseconds: Long) {
+        if (!service.sharded) return
+        val answers = services.getOrPut(service.name) { Counts() }.servers.getOrPut(server) { Answers() }
         answers.count++
         answers.milliseconds += milliseconds
     }
@@ -33,7 +35,7 @@
     /** Hands all counts with the coordinator that they are for to [send] and starts over. */
     fun flush(send: (InstanceName, LoadMessage) -> Unit) {
         services.forEach { (service, counts) ->
-            val coordinator = state.ownership[service]?.document?.coordinator
+            val coordinator = state.shared.ownership[service]?.document?.coordinator
             if (!coordinator.isNullOrEmpty()) send(InstanceName(coordinator), message(service, counts))
         }
         services.clear()
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
@@ -1,10 +1,8 @@
 /*
- * The instance's side of all talk with other instances: who dispatches for a pool, questions to it, and the
- * connections of others that ask here.
+ * Questions to the pools: chooses the instance that dispatches for a pool, and asks it.
  */
 package rhubarbspool.entry
 
-import io.netty.channel.Channel
 import rhubarbspool.model.Address
 import rhubarbspool.model.InstanceName
 import rhubarbspool.placement.Rendezvous
@@ -15,67 +13,59 @@
     val pool: PoolName,
     val holder: InstanceName,
     private val link: PeerLink?,
-    private val service: PoolService,
-    private val owner: String,
+    private val hub: PeerHub,
 ) {
-    fun done(done: DoneMessage, now: Long) = link?.done(done, now) ?: service.done(owner, done, now)
+    /** Gives the permit back. */
+    fun done(done: DoneMessage, now: Long) {
+        hub.forget(id)
+        if (link == null) hub.pools.done(hub.self, done, now) else link.tell(PeerMessage(done = done), now, id)
+    }
 
+    /** Takes the question back. */
     fun withdraw(now: Long) {
         val message = WithdrawMessage(id, pool)
-        link?.withdraw(message, now) ?: service.withdraw(owner, message, now)
+        hub.forget(id)
+        if (link == null) {
+            hub.pools.withdraw(hub.self, message, now)
+        } else {
+            link.tell(PeerMessage(withdraw = message), now, id)
+        }
     }
 }
 
-/** Talks with the other instances. */
+/** Asks for slots; [heard] hears how far other instances have read. */
 internal class PeerHub(
-    private val settings: EntrySettings,
-    private val state: EntryState,
-    private val service: PoolService,
+    private val context: ProcessContext,
+    val pools: PoolService,
     private val transport: PeerTransport,
-    private val log: DecisionLog,
-    private val clock: () -> Long,
-    private val behind: (Feed) -> Unit,
-) {
-    /** Passes rows on to those that ask here. */
-    lateinit var source: RowSource
-
-    /** Hears load reports of other instances. */
-    var onLoad: (LoadMessage) -> Unit = {}
-
-    private val self = "${settings.instance}/${clock()}"
+    private val events: PeerEvents,
+) : LinkEvents {
+    /** Name of this process among those that ask. */
+    val self = "${context.settings.instance}/${context.clock()}"
     private val links = HashMap<Address, PeerLink>()
     private val suspects = HashMap<InstanceName, Long>()
     private val local = HashMap<Long, (DecisionMessage) -> Unit>()
     private var nextId = 0L
 
-    /** Listens for other instances. */
-    fun listen(): Channel {
-        service.attach(self) { decision -> local[decision.id]?.invoke(decision) }
-        return transport.listen(settings.peers, ::accept)
+    init {
+        pools.attach(self) { decision -> local[decision.id]?.invoke(decision) }
     }
 
-    /** Asks the instance that dispatches for the pool of [ask] at [now]. */
-    fun ask(ask: AskMessage, now: Long, decided: (DecisionMessage) -> Unit): OpenAsk {
-        val numbered = ask.copy(id = ++nextId)
-        val holder = holderOf(numbered.pool, now)
-        if (holder == null || holder.instance == settings.instance) {
-            local[numbered.id] = decided
-            val open = OpenAsk(numbered.id, ask.pool, settings.instance, null, service, self)
-            service.ask(self, numbered, now)
-            return open
-        }
-        val link = links.getOrPut(holder.peers) { link(holder) }
-        link.ask(numbered, now) { decision ->
-            if (decision === PeerLink.LOST) suspect(holder.instance)
-            decided(decision)
+    /** Asks the instance that dispatches for the pool of [question] at [now]. */
+    fun ask(question: AskMessage, now: Long, decided: (DecisionMessage) -> Unit): OpenAsk {
+        val ask = question.copy(id = ++nextId)
+        val holder = holderOf(ask.pool, now)?.takeIf { it.instance != context.settings.instance }
+        val link = holder?.let { links.getOrPut(it.peers) { link(it) } }
+        if (link == null) {
+            local[ask.id] = decided
+            pools.ask(self, ask, now)
+        } else {
+            link.ask(ask, now) { decision ->
+                if (decision === PeerLink.LOST) suspect(holder.instance)
+                decided(decision)
+            }
         }
-        return OpenAsk(numbered.id, ask.pool, holder.instance, link, service, self)
-    }
-
-    /** Tells [instance] about load at [now]. */
-    fun report(instance: InstanceName, load: LoadMessage, now: Long) {
-        val member = state.members[instance] ?: return
-        if (instance == settings.instance) onLoad(load) else links.getOrPut(member.peers) { link(member) }.tell(load, now)
+        return OpenAsk(ask.id, ask.pool, holder?.instance ?: context.settings.instance, link, this)
     }
 
     /** Forgets the callback of a local question. */
@@ -83,73 +73,45 @@
         local.remove(id)
     }
 
+    /** Tells [instance] about load at [now]. */
+    fun report(instance: InstanceName, load: LoadMessage, now: Long) {
+        val member = context.state.shared.members[instance] ?: return
+        if (instance == context.settings.instance) {
+            events.loaded(load)
+        } else {
+            links.getOrPut(member.peers) { link(member) }.tell(PeerMessage(load = load), now)
+        }
+    }
+
     /** Gives up connections that went silent by [now]. */
     fun tick(now: Long) {
-        links.values.filter { it.isSilent(now) }.forEach { it.giveUp() }
-        links.entries.filter { it.value.isUnused(now) }.forEach { it.value.giveUp() }
+        links.values.filter { it.isSilent(now) || it.isUnused(now) }.forEach { it.giveUp() }
         suspects.values.removeAll { it <= now }
     }
 
-    /** The other instances and this one in the order in which they dispatch for [pool]. */
+    override fun heard(news: NewsMessage) = events.heard(news)
+
+    override fun lost(link: PeerLink) {
+        links.values.removeAll { it === link }
+    }
+
     private fun holderOf(pool: PoolName, now: Long): Member? {
-        val known = state.members.values.filter { isUsable(it.instance, now) }
+        val members = context.state.shared.members.values
+        val known = members.filter { it.instance == context.settings.instance || (suspects[it.instance] ?: 0) <= now }
         val near = known.filter { it.domain.text == pool.domain }
-        val candidates = near.ifEmpty { known.filter { it.domain == settings.domain } }
+        val candidates = near.ifEmpty { known.filter { it.domain == context.settings.domain } }
         val subject = "${pool.service}/${pool.domain}/${pool.server}"
         return candidates.maxWithOrNull(
             compareBy({ Rendezvous.score(subject, it.instance.text) }, { it.instance.text }),
         )
     }
 
-    private fun isUsable(instance: InstanceName, now: Long): Boolean =
-        instance == settings.instance || (suspects[instance] ?: 0) <= now
-
     private fun suspect(instance: InstanceName) {
-        val until = clock() + SUSPECT_MILLISECONDS
-        if (suspects.put(instance, until) == null) log.belief("instance", "instance" to instance, "state" to "unreachable")
-    }
-
-    private fun link(holder: Member) = PeerLink(
-        transport,
-        holder.peers,
-        self,
-        clock,
-        state::news,
-        ::heard,
-        { closed -> links.entries.removeAll { it.value === closed } },
-    )
-
-    private fun accept(channel: Channel): PeerListener = object : PeerListener {
-        private var owner: String? = null
-
-        override fun received(message: PeerMessage) {
-            val now = clock()
-            if (message.hello.isNotEmpty()) introduce(message.hello)
-            message.news?.let(::heard)
-            message.subscribe?.let { source.subscribed(channel, it) }
-            message.load?.let(onLoad)
-            val asker = owner ?: return
-            message.ask?.let { service.ask(asker, it, now) }
-            message.done?.let { service.done(asker, it, now) }
-            message.withdraw?.let { service.withdraw(asker, it, now) }
-            if (message.ping || message.news != null) transport.send(channel, PeerMessage(news = state.news()))
-        }
-
-        override fun closed() {
-            source.closed(channel)
-            owner?.let { service.detach(it, clock()) }
-        }
-
-        private fun introduce(name: String) {
-            val unique = "$name#${channel.id().asShortText()}"
-            owner = unique
-            service.attach(unique) { transport.send(channel, PeerMessage(decision = it)) }
-        }
+        val isNews = suspects.put(instance, context.clock() + SUSPECT_MILLISECONDS) == null
+        if (isNews) context.log.belief("instance", "instance" to instance, "state" to "unreachable")
     }
 
-    private fun heard(news: NewsMessage) {
-        Feed.entries.filter { news.of(it) > state.news().of(it) }.forEach(behind)
-    }
+    private fun link(holder: Member) = PeerLink(context, transport, holder.peers, self, this)
 
     private companion object {
         /** How long an instance that could not be reached is passed over. */
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerLink.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerLink.kt
@@ -7,15 +7,22 @@
 import io.netty.channel.Channel
 import rhubarbspool.model.Address
 
-/** Questions to the instance at [address]. */
+/** Hears of one link. */
+internal interface LinkEvents {
+    /** The other side told its [news]. */
+    fun heard(news: NewsMessage)
+
+    /** The connection of [link] ended. */
+    fun lost(link: PeerLink)
+}
+
+/** Questions of the instance called [hello] to the one at [address]. */
 internal class PeerLink(
+    private val context: ProcessContext,
     private val transport: PeerTransport,
     private val address: Address,
     private val hello: String,
-    private val clock: () -> Long,
-    private val news: () -> NewsMessage,
-    private val heard: (NewsMessage) -> Unit,
-    private val lost: (PeerLink) -> Unit,
+    private val events: LinkEvents,
 ) : PeerListener {
     private var channel: Channel? = null
     private var connecting = false
@@ -33,21 +40,12 @@
         send(PeerMessage(ask = ask), now)
     }
 
-    /** Sends the end of a permit. */
-    fun done(done: DoneMessage, now: Long) {
-        open.remove(done.id)
-        send(PeerMessage(done = done), now)
+    /** Sends [message], which ends the question [ended] if one is given. */
+    fun tell(message: PeerMessage, now: Long, ended: Long? = null) {
+        ended?.let(open::remove)
+        send(message, now)
     }
 
-    /** Takes a question back. */
-    fun withdraw(withdraw: WithdrawMessage, now: Long) {
-        open.remove(withdraw.id)
-        send(PeerMessage(withdraw = withdraw), now)
-    }
-
-    /** Sends a load report. */
-    fun tell(load: LoadMessage, now: Long) = send(PeerMessage(load = load), now)
-
     /** Watches for silence at [now]; true when the other side is given up. */
     fun isSilent(now: Long): Boolean {
         if (open.isEmpty()) return false
@@ -74,8 +72,8 @@
     }
 
     override fun received(message: PeerMessage) {
-        heardAt = clock()
-        message.news?.let(heard)
+        heardAt = context.clock()
+        message.news?.let(events::heard)
         message.decision?.let { open[it.id]?.invoke(it) }
     }
 
@@ -85,24 +83,22 @@
         unsent.clear()
         val handedBack = open.values.toList()
         open.clear()
-        lost(this)
+        events.lost(this)
         handedBack.forEach { it(LOST) }
     }
 
     private fun send(message: PeerMessage, now: Long) {
         usedAt = now
-        val withNews = if (now - newsAt >= NEWS_MILLISECONDS) message.copy(news = news()) else message
-        if (withNews !== message) newsAt = now
+        val tellsNews = now - newsAt >= NEWS_MILLISECONDS
+        if (tellsNews) newsAt = now
+        val complete = if (tellsNews) message.copy(news = context.state.news()) else message
         val current = channel
-        when {
-            current != null -> transport.send(current, withNews)
-            else -> {
-                unsent += withNews
-                if (!connecting) {
-                    connecting = true
-                    transport.connect(address, this)
-                }
-            }
+        if (current != null) {
+            transport.send(current, complete)
+        } else {
+            unsent += complete
+            if (!connecting) transport.connect(address, this)
+            connecting = true
         }
     }
 
@@ -115,6 +111,8 @@
 
         /** No sign of life for so long, with two pings sent, means that the other side is lost or suspended. */
         private const val SILENCE_MILLISECONDS = 450L
+
+        /** Versions of feeds are told this often. */
         private const val NEWS_MILLISECONDS = 200L
         private const val UNUSED_MILLISECONDS = 20_000L
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
@@ -11,11 +11,11 @@
 
 /** A pool: the servers of [service] in [domain], or the one [server] of a sharded service. */
 @Serializable
-data class PoolName(val service: String, val domain: String, val server: String = "")
+internal data class PoolName(val service: String, val domain: String, val server: String = "")
 
 /** Asks for a slot. */
 @Serializable
-data class AskMessage(
+internal data class AskMessage(
     val id: Long,
     val pool: PoolName,
     val priority: Int,
@@ -27,7 +27,7 @@
 
 /** The answer to an ask; neither [server] nor [refusal] while the request waits. */
 @Serializable
-data class DecisionMessage(
+internal data class DecisionMessage(
     val id: Long,
     val server: String = "",
     val refusal: PoolRefusal? = null,
@@ -36,7 +36,7 @@
 
 /** How the permit of [id] ended. */
 @Serializable
-data class DoneMessage(
+internal data class DoneMessage(
     val id: Long,
     val pool: PoolName,
     val outcome: CallOutcome,
@@ -51,11 +51,11 @@
 
 /** Nobody waits for [id] any more. */
 @Serializable
-data class WithdrawMessage(val id: Long, val pool: PoolName)
+internal data class WithdrawMessage(val id: Long, val pool: PoolName)
 
 /** Versions of the feeds that the sender has read, so that one that fell behind reads again. */
 @Serializable
-data class NewsMessage(val operator: Long, val servers: Long, val shared: Long) {
+internal data class NewsMessage(val operator: Long, val servers: Long, val shared: Long) {
     /** The version of [feed]. */
     fun of(feed: Feed): Long = when (feed) {
         Feed.OPERATOR -> operator
@@ -66,11 +66,11 @@
 
 /** Asks for all news of the platform's table from the versions in [known] on. */
 @Serializable
-data class SubscribeMessage(val known: NewsMessage)
+internal data class SubscribeMessage(val known: NewsMessage)
 
 /** Rows of [feed]; [resigns] when the sender can't read the table itself. */
 @Serializable
-data class RowsMessage(val feed: Feed? = null, val page: FeedPage? = null, val resigns: Boolean = false)
+internal data class RowsMessage(val feed: Feed? = null, val page: FeedPage? = null, val resigns: Boolean = false)
 
 /**
  * What the sender saw of a sharded service since its last report.
@@ -79,7 +79,7 @@
  * @property servers servers that answered, with [answers] and the [milliseconds] that these took.
  */
 @Serializable
-data class LoadMessage(
+internal data class LoadMessage(
     val service: String,
     val ranges: List<Int>,
     val counts: List<Int>,
@@ -90,7 +90,7 @@
 
 /** One message; exactly one of the first fields is set, news may come with any. */
 @Serializable
-data class PeerMessage(
+internal data class PeerMessage(
     val ask: AskMessage? = null,
     val decision: DecisionMessage? = null,
     val done: DoneMessage? = null,
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
@@ -77,7 +77,11 @@
         override fun channelRead0(context: ChannelHandlerContext, frame: ByteBuf) = try {
             listener.received(decode(ByteBufUtil.getBytes(frame)))
         } catch (exception: SerializationException) {
-            log.fault("a peer's message can't be read", "peer" to context.channel().remoteAddress(), "cause" to exception)
+            log.fault(
+                "a peer's message can't be read",
+                "peer" to context.channel().remoteAddress(),
+                "cause" to exception
+            )
             context.close()
             Unit
         }
@@ -86,7 +90,11 @@
 
         @Deprecated("Overrides a deprecated method of Netty")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            log.fault("a connection between instances failed", "peer" to context.channel().remoteAddress(), "cause" to cause)
+            log.fault(
+                "a connection between instances failed",
+                "peer" to context.channel().remoteAddress(),
+                "cause" to cause
+            )
             context.close()
         }
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
@@ -77,6 +77,15 @@
     fun write(key: String, followed: Boolean, expected: Long, value: String?): CompletableFuture<WriteResult>
 }
 
+/** The platform's side of an entry process; [readyPath] is where it asks whether the instance takes callers. */
+data class Platform(
+    val table: PlatformTable,
+    val decoder: RowDecoder,
+    val orders: OwnershipOrders,
+    val headers: HeaderNames,
+    val readyPath: String,
+)
+
 /** Result of an order to a server, with what the last holder hands over. */
 data class OrderAnswer(val result: OrderResult, val handover: String? = null)
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
@@ -4,6 +4,7 @@
  */
 package rhubarbspool.entry
 
+import rhubarbspool.dispatch.CallEnd
 import rhubarbspool.dispatch.Pool
 import rhubarbspool.dispatch.PoolDecision
 import rhubarbspool.dispatch.Ticket
@@ -13,12 +14,12 @@
 import rhubarbspool.traffic.BackendEntry
 
 /** Hears decisions of the pools for one asker. */
-fun interface DecisionSink {
+internal fun interface DecisionSink {
     fun decided(decision: DecisionMessage)
 }
 
 /** All pools of this instance. */
-class PoolService(private val state: EntryState) {
+internal class PoolService(private val state: EntryState) {
     private class Held(val pool: Pool, var usedAt: Long)
 
     private val pools = HashMap<PoolName, Held>()
@@ -36,7 +37,7 @@
     /** [owner] was lost at [now]. */
     fun detach(owner: String, now: Long) {
         sinks.remove(owner)
-        pools.values.forEach { deliver(it.pool.ownerLost(owner, now)) }
+        pools.values.forEach { deliver(it.pool.withdraw(owner, null, now)) }
     }
 
     /** Takes in a question of [owner] at [now]. */
@@ -61,7 +62,7 @@
     /** Takes in the end of a permit of [owner] at [now]. */
     fun done(owner: String, done: DoneMessage, now: Long) {
         val pool = pools[done.pool]?.pool ?: return
-        deliver(pool.finished(owner, done.id, done.outcome, done.took, done.load, now))
+        deliver(pool.finished(owner, done.id, CallEnd(done.outcome, done.took, done.load), now))
     }
 
     /** [owner] does not want [withdraw] any more at [now]. */
@@ -77,7 +78,13 @@
         seenChanges = changed
         pools.entries.removeAll { (_, held) -> now - held.usedAt > UNUSED_MILLISECONDS && held.pool.running == 0 }
         pools.forEach { (name, held) ->
-            if (stale || name.server.isNotEmpty() && state.directory.drainingSince(ServerName(name.server)) != null) update(name, held.pool, now)
+            if (stale || name.server.isNotEmpty() && state.directory.drainingSince(ServerName(name.server)) != null) {
+                update(
+                    name,
+                    held.pool,
+                    now
+                )
+            }
             if (held.pool.queued > 0 || held.pool.running > 0) deliver(held.pool.tick(now))
         }
     }
@@ -100,7 +107,11 @@
         val message = when (decision) {
             is PoolDecision.Permit -> DecisionMessage(decision.ticket.id, server = decision.server.text)
             is PoolDecision.Refuse ->
-                DecisionMessage(decision.ticket.id, refusal = decision.reason, retryAfter = decision.retryAfterMilliseconds)
+                DecisionMessage(
+                    decision.ticket.id,
+                    refusal = decision.reason,
+                    retryAfter = decision.retryAfterMilliseconds
+                )
         }
         sinks[decision.ticket.owner]?.decided(message)
     }
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFacts.kt
@@ -0,0 +1,64 @@
+/*
+ * What is known of a request from its start, and what has become of it so far.
+ */
+package rhubarbspool.entry
+
+import rhubarbspool.dispatch.AttemptState
+import rhubarbspool.model.ServerName
+import rhubarbspool.ownership.OwnershipDocument
+import rhubarbspool.traffic.BackendEntry
+import rhubarbspool.traffic.TrafficRoute
+import rhubarbspool.traffic.TrafficService
+
+/** The request [caller] with [id] on [route] to [service]. Times are monotonic milliseconds. */
+internal class RequestFacts(
+    private val flow: FlowContext,
+    val id: String,
+    val caller: CallerRequest,
+    val route: TrafficRoute,
+    val service: TrafficService,
+) {
+    /** Whether it may run more than once. */
+    val repeatable: Boolean = route.kind.repeatable
+
+    /** Until when an answer has its full value. */
+    val dueAt: Long = caller.arrivedAt + route.targetMilliseconds
+
+    /** Until when the caller is kept waiting. */
+    val deadlineAt: Long = caller.arrivedAt + minOf(route.timeoutMilliseconds, callerTimeout())
+
+    /** The key, where the request has one. */
+    val key: Int? = caller.headers.get(flow.names.key)?.toIntOrNull()?.takeIf { it in 0 until OwnershipDocument.KEYS }
+
+    /** Servers that the request was sent to, or could not be sent to. */
+    val tried = LinkedHashSet<ServerName>()
+
+    /** Servers that may have begun to run it. */
+    var runs = 0
+
+    /** Times that it was refused without being run, or could not be sent. */
+    var refusals = 0
+
+    /** Where the request stands at [now], for the decision about another try. */
+    fun attempts(now: Long) =
+        AttemptState(repeatable, runs, refusals, route.maximumAttempts, deadlineAt - now, service.sharded)
+
+    /** Takes a retry from this instance's part of the budget at [now]. */
+    fun takeRetry(now: Long): Boolean = flow.allowance(service.name).take(flow.slack, now)
+
+    /** The range of the key, where the service is sharded and has owners. */
+    fun range(): Int? {
+        val document = flow.process.state.shared.ownership[service.name]?.document
+        return if (document == null || key == null) null else OwnershipDocument.rangeOf(key, document.ranges)
+    }
+
+    /** The living owner of the key; null when its life has ended or nobody owns it. */
+    fun owner(): BackendEntry? {
+        val document = flow.process.state.shared.ownership[service.name]?.document
+        val owner = range()?.let { document?.owner(it) }
+        return owner?.let { flow.process.state.directory[it.server] }?.takeIf { it.bornWall == owner.bornWall }
+    }
+
+    private fun callerTimeout(): Long =
+        caller.headers.get(flow.names.timeout)?.toLongOrNull()?.coerceAtLeast(0) ?: Long.MAX_VALUE / 2
+}
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
@@ -1,43 +1,47 @@
 /*
- * Takes callers' requests from their route to an answer: one run for each request.
+ * Takes callers' requests from their route to a run, and answers those that can't have one.
  */
 package rhubarbspool.entry
 
 import io.netty.buffer.Unpooled
-import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import rhubarbspool.dispatch.RetryAllowance
 import rhubarbspool.errors.ErrorKind
+import rhubarbspool.errors.Outcome
 import rhubarbspool.errors.RequestError
 import rhubarbspool.model.ServiceName
+import rhubarbspool.traffic.TrafficRoute
 import rhubarbspool.traffic.TrafficSplit
 import java.util.Locale
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
 
-/** What a run needs of the process. */
+/** What requests need of the process. */
 internal class FlowContext(
-    val settings: EntrySettings,
+    val process: ProcessContext,
     val names: HeaderNames,
-    val state: EntryState,
-    val loop: EventLoop,
     val hub: PeerHub,
     val links: ServerLinks,
-    val metrics: EntryMetrics,
     val load: LoadCounter,
-    val log: DecisionLog,
-    val clock: () -> Long,
 ) {
     private val allowances = HashMap<ServiceName, RetryAllowance>()
 
     /** This instance's retries to [service]. */
-    fun allowance(service: ServiceName): RetryAllowance =
-        allowances.getOrPut(service) { RetryAllowance(settings.retryRatio, settings.retryWindowMilliseconds) }
+    fun allowance(service: ServiceName): RetryAllowance = allowances.getOrPut(service) {
+        RetryAllowance(process.settings.retryRatio, process.settings.retryWindowMilliseconds)
+    }
+
+    /** Does [action] after [milliseconds]. */
+    fun after(milliseconds: Long, action: () -> Unit): Future<*> =
+        process.loop.schedule(action, maxOf(0, milliseconds), TimeUnit.MILLISECONDS)
 
     /** Retries in a window that this instance may send beyond its requests' share. */
-    val slack: Double get() = settings.retrySlack.toDouble() / maxOf(1, state.members.size)
+    val slack: Double
+        get() = process.settings.retrySlack.toDouble() / maxOf(1, process.state.shared.members.size)
 }
 
 /** Handles callers' requests. */
-internal class RequestFlow(private val context: FlowContext) : RequestHandler {
+internal class RequestFlow(private val flow: FlowContext) : RequestHandler {
     private val split = TrafficSplit()
     private val waiting = LinkedHashSet<RequestRun>()
 
@@ -47,43 +51,47 @@
 
     override var isStopping: Boolean = false
 
-    override val bodyLimit: Long get() = context.state.configuration?.bounds?.bodyBytes ?: DEFAULT_BODY_BYTES
+    override val bodyLimit: Long
+        get() = flow.process.state.configuration?.bounds?.bodyBytes ?: DEFAULT_BODY_BYTES
 
     override fun handle(request: CallerRequest, turn: CallerTurn) {
-        val state = context.state
-        val id = request.headers.get(context.names.requestId)
         val host = request.headers.get("Host").orEmpty()
-        val route = state.routes.find(host, request.target)
+        val id = request.headers.get(flow.names.requestId).orEmpty()
+        val route = flow.process.state.routes.find(host, request.target)
         when {
-            state.configuration == null ->
+            flow.process.state.configuration == null ->
                 refuse(RequestError(ErrorKind.NO_CONFIGURATION, retryAfterMilliseconds = UNREADY_MILLISECONDS), turn)
             route == null -> refuse(RequestError(ErrorKind.UNKNOWN_ROUTE, "$host${request.target}"), turn)
-            id.isNullOrEmpty() -> refuse(RequestError(ErrorKind.MALFORMED_REQUEST, "no request id"), turn)
-            else -> {
-                val service = split.next(route)?.let { state.configuration?.services?.get(it) }
-                if (service == null) {
-                    refuse(RequestError(ErrorKind.NO_OWNER, route.name, RETRY_MILLISECONDS), turn)
-                } else {
-                    context.allowance(service.name).requested()
-                    running++
-                    val run = RequestRun(context, id, request, route, service, turn) { ended ->
-                        running--
-                        waiting -= ended
-                    }
-                    if (service.sharded) waiting += run
-                    run.start()
-                }
-            }
+            id.isEmpty() -> refuse(RequestError(ErrorKind.MALFORMED_REQUEST, "no request id"), turn)
+            else -> run(id, request, route, turn)
         }
     }
 
+    override fun refuse(error: RequestError, turn: CallerTurn) {
+        val version = flow.process.state.configuration?.version
+        val facts = listOf("error" to error.kind, "detail" to error.detail, "version" to version)
+        flow.process.log.request("-", "refused", facts)
+        flow.process.metrics.refused(error.kind.name)
+        turn.refuse(error)
+    }
+
     /** Servers or owners of keys changed: what waits for an owner that has changed asks anew. */
     fun learned() = waiting.toList().forEach(RequestRun::ownersChanged)
 
-    override fun refuse(error: RequestError, turn: CallerTurn) {
-        context.log.request("-", "refused", "error" to error.kind, "detail" to error.detail, "version" to context.state.configuration?.version)
-        context.metrics.refused(error.kind.name)
-        turn.refuse(error)
+    private fun run(id: String, request: CallerRequest, route: TrafficRoute, turn: CallerTurn) {
+        val service = split.next(route)?.let { flow.process.state.configuration?.services?.get(it) }
+        if (service == null) return refuse(RequestError(ErrorKind.NO_OWNER, route.name, UNREADY_MILLISECONDS), turn)
+        flow.allowance(service.name).requested()
+        running++
+        val facts = RequestFacts(flow, id, request, route, service)
+        var run: RequestRun? = null
+        val end = RequestEnd(flow, facts, turn) {
+            running--
+            run?.let { waiting -= it }
+        }
+        run = RequestRun(flow, facts, end)
+        if (service.sharded) waiting += run
+        run.start(turn)
     }
 
     private companion object {
@@ -91,7 +99,6 @@
 
         /** A starting instance knows its configuration within about this time. */
         const val UNREADY_MILLISECONDS = 500L
-        const val RETRY_MILLISECONDS = 500L
     }
 }
 
@@ -100,7 +107,8 @@
     val headers = DefaultHttpHeaders()
     headers.set("Content-Type", "text/plain; charset=utf-8")
     val retryAfter = error.retryAfterMilliseconds
-    if (error.kind.retryable && retryAfter != null) {
+    val mayComeBack = error.kind.retryable && error.kind.outcome != Outcome.UNKNOWN
+    if (mayComeBack && retryAfter != null) {
         headers.set("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfter / MILLISECONDS_PER_SECOND))
     }
     answer(error.kind.status, headers, Unpooled.copiedBuffer(error.kind.summary + "\n", Charsets.UTF_8))
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestReader.kt
@@ -0,0 +1,93 @@
+/*
+ * Puts a caller's requests together from what its connection brings, within the operators' bounds.
+ */
+package rhubarbspool.entry
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import rhubarbspool.errors.ErrorKind
+import rhubarbspool.errors.RequestError
+import java.io.ByteArrayOutputStream
+
+/** A caller's request, whole. */
+internal class CallerRequest(
+    val method: String,
+    val target: String,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+    val arrivedAt: Long,
+)
+
+/** Hears of requests; after [broken] nothing more is read. */
+internal interface ReaderEvents {
+    /** A whole request arrived; [keepAlive] when its caller keeps the connection. */
+    fun whole(request: CallerRequest, keepAlive: Boolean)
+
+    /** What arrives is no request that can be taken. */
+    fun broken(error: RequestError)
+}
+
+/** Reads requests; [bodyLimit] is the most bytes of a body. */
+internal class RequestReader(
+    private val bodyLimit: () -> Long,
+    private val clock: () -> Long,
+    private val events: ReaderEvents,
+) {
+    private var head: HttpRequest? = null
+    private var body = ByteArrayOutputStream(0)
+
+    /** Whether no request is being read. */
+    val isIdle: Boolean get() = head == null
+
+    /** Takes in the next part. */
+    fun read(context: ChannelHandlerContext, message: HttpObject) {
+        if (message.decoderResult().isFailure) return malformed(message.decoderResult().cause())
+        if (message is HttpRequest) begin(context, message)
+        if (message is HttpContent) content(message)
+    }
+
+    private fun malformed(cause: Throwable) {
+        val tooLong = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
+        fail(if (tooLong) ErrorKind.HEADERS_TOO_LARGE else ErrorKind.MALFORMED_REQUEST)
+    }
+
+    private fun begin(context: ChannelHandlerContext, request: HttpRequest) {
+        head = request
+        body = ByteArrayOutputStream(0)
+        if (HttpUtil.getContentLength(request, 0L) > bodyLimit()) {
+            fail(ErrorKind.BODY_TOO_LARGE)
+        } else if (HttpUtil.is100ContinueExpected(request)) {
+            val status = HttpResponseStatus.CONTINUE
+            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER))
+        }
+    }
+
+    private fun content(content: HttpContent) {
+        val request = head ?: return
+        val bytes = content.content().readableBytes()
+        if (body.size() + bytes > bodyLimit()) return fail(ErrorKind.BODY_TOO_LARGE)
+        content.content().readBytes(body, bytes)
+        if (content is LastHttpContent) {
+            head = null
+            val method = request.method().name()
+            val whole = CallerRequest(method, request.uri(), request.headers(), body.toByteArray(), clock())
+            events.whole(whole, HttpUtil.isKeepAlive(request))
+        }
+    }
+
+    private fun fail(kind: ErrorKind) {
+        head = null
+        events.broken(RequestError(kind))
+    }
+}
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
@@ -0,0 +1,40 @@
+/*
+ * The instances that learn the platform's rows from this one.
+ */
+package rhubarbspool.entry
+
+import io.netty.channel.Channel
+
+/** Passes rows on. */
+internal class RowSubscribers(private val context: ProcessContext, private val transport: PeerTransport) {
+    private val channels = HashSet<Channel>()
+
+    /** Whether anybody learns from here. */
+    val isEmpty: Boolean get() = channels.isEmpty()
+
+    /** Takes in [channel] and tells it what is news to it. */
+    fun add(channel: Channel, message: SubscribeMessage) {
+        channels += channel
+        Feed.entries.forEach { feed ->
+            val known = message.known.of(feed)
+            val page = context.state.rows(feed).snapshot()
+            if (page != null && page.version > known) {
+                val changes = page.copy(rows = page.rows.filter { it.version > known }, complete = known == 0L)
+                transport.send(channel, PeerMessage(rows = RowsMessage(feed, changes)))
+            }
+        }
+    }
+
+    /** Forgets [channel]. */
+    fun remove(channel: Channel) {
+        channels -= channel
+    }
+
+    /** Passes [page] of [feed] on. */
+    fun tell(feed: Feed, page: FeedPage) = channels.forEach {
+        transport.send(it, PeerMessage(rows = RowsMessage(feed, page)))
+    }
+
+    /** Says that this instance can't read the table. */
+    fun resign() = channels.forEach { transport.send(it, PeerMessage(rows = RowsMessage(resigns = true))) }
+}
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
@@ -12,22 +12,10 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 
-/** The head of a server's answer. */
-internal data class ServerHead(val status: Int, val headers: HttpHeaders) {
-    val isSuccess: Boolean get() = status in SUCCESS
-
-    private companion object {
-        val SUCCESS = 200..299
-    }
-}
-
 /** Why an exchange did not bring a whole answer. */
 internal enum class BreakCause { CLOSED, NOT_HTTP, WRONG_ANSWER, GIVEN_UP }
 
@@ -49,19 +37,18 @@
     fun broken(cause: BreakCause, streaming: Boolean)
 }
 
-/** One run of [request], which has [id], over [channel]. */
+/** One run of [request], which has [id], over [channel]; [free] gets the connection back if it can be used again. */
 internal class ServerExchange(
     private val channel: Channel,
     private val request: FullHttpRequest,
     private val id: String,
     private val names: HeaderNames,
     private val listener: ExchangeListener,
-    private val reusable: (Channel, Long) -> Unit,
+    private val free: (Channel, Long) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var head: ServerHead? = null
     private var skipping = false
     private var streaming = false
-    private var keepAlive = false
     private var failed = false
     private var written = false
     private var ended = false
@@ -72,61 +59,64 @@
         channel.pipeline().addLast(this)
         channel.writeAndFlush(request).addListener {
             written = true
-            if (!it.isSuccess) breakOff(BreakCause.CLOSED) else if (ended) giveBack()
+            if (!it.isSuccess) giveUp(BreakCause.CLOSED) else if (ended) giveBack()
         }
     }
 
-    /** Gives the run up and closes the connection, which makes the server drop the request. */
-    fun giveUp() = breakOff(BreakCause.GIVEN_UP)
-
-    /** Stops or goes on to read, for a caller that reads slowly. */
-    fun read(wanted: Boolean) {
-        if (!ended) channel.config().isAutoRead = wanted
+    /** Gives the run up for [cause] and closes the connection, which makes the server drop the request. */
+    fun giveUp(cause: BreakCause = BreakCause.GIVEN_UP) {
+        if (ended) return
+        ended = true
+        held.release()
+        channel.close()
+        listener.broken(cause, streaming)
     }
 
+    /** Whether more is read from the server; not for a moment while its caller reads slowly. */
+    var reads: Boolean
+        get() = channel.config().isAutoRead
+        set(wanted) {
+            if (!ended) channel.config().isAutoRead = wanted
+        }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            if (ended) {
-                context.close()
-                return
-            }
-            if (message is HttpResponse) began(message)
-            if (message is HttpContent && !ended) content(message)
+            if (ended) context.close()
+            if (!ended && message is HttpResponse) began(message)
+            if (!ended && message is HttpContent) content(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
     }
 
-    override fun channelInactive(context: ChannelHandlerContext) = breakOff(BreakCause.CLOSED)
+    override fun channelInactive(context: ChannelHandlerContext) = giveUp(BreakCause.CLOSED)
 
     @Deprecated("Overrides a deprecated method of Netty")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         failed = true
-        breakOff(BreakCause.CLOSED)
+        giveUp(BreakCause.CLOSED)
     }
 
     private fun began(response: HttpResponse) {
-        if (response.decoderResult().isFailure) return breakOff(BreakCause.NOT_HTTP)
-        val status = response.status().code()
-        val echoed = response.headers().get(names.requestId)
-        skipping = status < FIRST_FINAL_STATUS || (echoed != null && echoed != id)
-        if (skipping) return
-        val next = ServerHead(status, response.headers())
-        val proven = echoed != null && next.headers.contains(names.signature)
-        val encoded = next.headers.contains(HttpHeaderNames.CONTENT_ENCODING)
-        if (next.isSuccess && (!proven || encoded)) return breakOff(BreakCause.WRONG_ANSWER)
-        val framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
-        keepAlive = HttpUtil.isKeepAlive(response) && (framed || status in BODILESS)
-        head = next
+        val next = ServerHead.of(response)
+        skipping = ServerHead.isForeign(response, id, names)
+        when {
+            response.decoderResult().isFailure -> giveUp(BreakCause.NOT_HTTP)
+            skipping -> Unit
+            next.isTrustworthy(names) -> head = next
+            else -> giveUp(BreakCause.WRONG_ANSWER)
+        }
     }
 
     private fun content(content: HttpContent) {
-        if (content.decoderResult().isFailure) return breakOff(BreakCause.NOT_HTTP)
         val current = head
-        val last = content is LastHttpContent
-        if (current == null || skipping) return
-        if (content.content().isReadable) take(current, content.content().retain())
-        if (last && !ended) whole(current)
+        when {
+            content.decoderResult().isFailure -> giveUp(BreakCause.NOT_HTTP)
+            current != null && !skipping -> {
+                if (content.content().isReadable) take(current, content.content().retain())
+                if (content is LastHttpContent) whole(current)
+            }
+        }
     }
 
     private fun take(head: ServerHead, bytes: ByteBuf) {
@@ -140,8 +130,9 @@
         }
     }
 
+    /** A body that is only ended by its connection is whole unless the connection failed. */
     private fun whole(head: ServerHead) {
-        if (failed) return breakOff(BreakCause.CLOSED)
+        if (failed || ended) return giveUp(BreakCause.CLOSED)
         ended = true
         val body = held.copy()
         held.release()
@@ -155,38 +146,18 @@
     }
 
     private fun giveBack() {
-        if (!keepAlive || !channel.isActive) {
+        val kept = head?.takeIf { it.reusable && channel.isActive }
+        if (kept == null) {
             channel.close()
-            return
+        } else {
+            channel.pipeline().remove(this)
+            free(channel, kept.keptOpenMilliseconds)
         }
-        channel.pipeline().remove(this)
-        reusable(channel, keptOpen())
-    }
-
-    private fun keptOpen(): Long {
-        val seconds = head?.headers?.get(KEEP_ALIVE)?.substringAfter("timeout=", "")?.takeWhile(Char::isDigit)
-        return seconds?.toLongOrNull()?.times(MILLISECONDS) ?: UNSTATED_MILLISECONDS
-    }
-
-    private fun breakOff(cause: BreakCause) {
-        if (ended) return
-        ended = true
-        held.release()
-        channel.close()
-        listener.broken(cause, streaming)
     }
 
     private companion object {
-        const val KEEP_ALIVE = "Keep-Alive"
-        const val FIRST_FINAL_STATUS = 200
-        const val MILLISECONDS = 1_000L
-        val BODILESS = setOf(204, 304)
-
         /** Answers up to this size are held until they are whole. */
         const val HELD_BYTES = 131_072
         const val MAXIMUM_PARTS = 4_096
-
-        /** How long a connection is kept where the server does not say. */
-        const val UNSTATED_MILLISECONDS = 3_000L
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerLinks.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerLinks.kt
@@ -21,7 +21,9 @@
 
 /** Opens and keeps connections; used on the event loop only. */
 internal class ServerLinks(private val group: EventLoopGroup, private val clock: () -> Long) {
-    private class Idle(val channel: Channel, val since: Long, val limit: Long)
+    private class Idle(val channel: Channel, val since: Long, val limit: Long) {
+        fun isStale(now: Long): Boolean = now - since > limit || !channel.isActive
+    }
 
     private val idle = HashMap<Address, ArrayDeque<Idle>>()
 
@@ -29,7 +31,7 @@
     var opened: Long = 0
         private set
 
-    /** Hands a connection to [address] to [received], null when none can be had; a kept one idle for less than [age]. */
+    /** Hands a connection to [received], null when none can be had; a kept one was idle for less than [age]. */
     fun acquire(address: Address, age: Long, received: (Channel?) -> Unit) {
         val kept = takeIdle(address, age)
         if (kept != null) received(kept) else connect(address, received)
@@ -46,9 +48,7 @@
     fun closeIdle() {
         val now = clock()
         idle.values.forEach { links ->
-            while (links.isNotEmpty() && (now - links.last().since > links.last().limit || !links.last().channel.isActive)) {
-                links.removeLast().channel.close()
-            }
+            while (links.isNotEmpty() && links.last().isStale(now)) links.removeLast().channel.close()
         }
         idle.values.removeAll { it.isEmpty() }
     }
@@ -59,15 +59,15 @@
     }
 
     private fun takeIdle(address: Address, age: Long): Channel? {
-        val links = idle[address] ?: return null
         val now = clock()
-        while (links.isNotEmpty()) {
+        val links = idle[address]
+        var found: Channel? = null
+        while (found == null && !links.isNullOrEmpty()) {
             val link = links.removeFirst()
             val fresh = now - link.since <= minOf(link.limit, age)
-            if (link.channel.isActive && fresh) return link.channel
-            link.channel.close()
+            if (link.channel.isActive && fresh) found = link.channel else link.channel.close()
         }
-        return null
+        return found
     }
 
     private fun connect(address: Address, received: (Channel?) -> Unit) {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerRequests.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerRequests.kt
@@ -21,9 +21,10 @@
 
         /** Reads `running,waiting,slots,percent`; null when [text] is no report. */
         fun of(text: String?): ServerLoad? {
-            val fields = text?.split(',')?.map { it.trim().toDoubleOrNull()?.toInt() ?: return null } ?: return null
-            if (fields.size < 2) return null
-            return ServerLoad(fields[0], fields[1], fields.getOrElse(FIELDS - 1) { USUAL })
+            val fields = text?.split(',')?.map { it.trim().toDoubleOrNull()?.toInt() }.orEmpty()
+            val isReport = fields.size >= 2 && null !in fields
+            val percent = fields.getOrNull(FIELDS - 1) ?: USUAL
+            return if (isReport) ServerLoad(fields[0] ?: 0, fields[1] ?: 0, percent) else null
         }
     }
 }
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/SharedRows.kt
@@ -0,0 +1,75 @@
+/*
+ * The instances' own rows: who the instances are, and who owns which keys.
+ */
+package rhubarbspool.entry
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import rhubarbspool.model.Address
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.InstanceName
+import rhubarbspool.model.ServiceName
+import rhubarbspool.ownership.OwnershipDocument
+
+/** Another instance, as it wrote itself into the shared rows. */
+@Serializable
+data class Member(val instance: InstanceName, val domain: FailureDomainName, val peers: Address) {
+    /** This member as a row's text. */
+    fun encode(): String = Json.encodeToString(serializer(), this)
+
+    companion object {
+        /** The key of the row of [instance]. */
+        fun keyOf(instance: InstanceName): String = "member/$instance"
+    }
+}
+
+/** An ownership document and the version of its row. */
+data class VersionedOwnership(val version: Long, val document: OwnershipDocument)
+
+/** What the shared rows say. */
+internal class SharedRows(private val log: DecisionLog) {
+    /** Instances by name. */
+    val members = HashMap<InstanceName, Member>()
+
+    /** Versions of the instances' rows. */
+    val memberVersions = HashMap<InstanceName, Long>()
+
+    /** Owners of keys by service. */
+    val ownership = HashMap<ServiceName, VersionedOwnership>()
+
+    /** Takes in one row. */
+    fun merge(item: FeedItem.Shared) {
+        when {
+            item.key.startsWith(MEMBERS) -> member(item, InstanceName(item.key.removePrefix(MEMBERS)))
+            item.key.startsWith(OWNERS) -> owners(item, ServiceName(item.key.removePrefix(OWNERS)))
+        }
+    }
+
+    private fun member(item: FeedItem.Shared, name: InstanceName) {
+        memberVersions[name] = item.version
+        val member = item.value?.let { parse(item.key) { Json.decodeFromString(Member.serializer(), it) } }
+        if (member == null) members.remove(name) else members[name] = member
+    }
+
+    private fun owners(item: FeedItem.Shared, service: ServiceName) {
+        val isNews = (ownership[service]?.version ?: 0) < item.version
+        val document = item.value?.takeIf { isNews }?.let { parse(item.key) { OwnershipDocument.decode(it) } }
+        if (document != null) ownership[service] = VersionedOwnership(item.version, document)
+    }
+
+    private fun <T> parse(key: String, read: (() -> T)): T? = try {
+        read()
+    } catch (exception: SerializationException) {
+        log.fault("a shared row can't be read", "row" to key, "cause" to exception.message)
+        null
+    }
+
+    companion object {
+        private const val MEMBERS = "member/"
+        private const val OWNERS = "owners/"
+
+        /** The key of the row with the owners of [service]. */
+        fun ownersOf(service: ServiceName): String = OWNERS + service
+    }
+}
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/DrillMain.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/DrillMain.kt
@@ -47,7 +47,7 @@
         val request = HttpRequest.newBuilder(URI.create(base + if (read) "/read/$number" else "/book/$number"))
             .header("Rhubarbspool-Request-Id", "drill-$number")
             .header("Rhubarbspool-Request-Timeout-Ms", "2000")
-            .header("Rhubarbspool-Shard-Key", "${number * 1_000}")
+            .header("Rhubarbspool-Shard-Key", "${number * KEY_STRIDE}")
         val built = if (read) request.GET() else request.POST(HttpRequest.BodyPublishers.ofString("body"))
         return try {
             client.send(built.build(), HttpResponse.BodyHandlers.ofString()).statusCode() < SERVER_ERRORS
@@ -57,5 +57,6 @@
         }
     }
 
+    private const val KEY_STRIDE = 1_000
     private const val SERVER_ERRORS = 400
 }
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
@@ -42,18 +42,30 @@
         store.put("servers", id, """{"address":"$address","born":$BORN,"info":$info,"status":$status}""")
     }
 
-    /** Puts the configuration [version] in force: a safe route to `board`, which is sharded, and an unsafe one to `desk`. */
+    /** Puts in force: a safe route to `board`, which is sharded, and an unsafe one to `desk`, as [version]. */
     fun configure(version: Int) {
-        val routes = """{"columns":["name","host","prefix","kind","timeout","target_latency","priority","traffic_split","max_attempts","service"],
-            "rows":[["read","127.0.0.1","/read/","safe","1200ms","600ms",2,null,2,"board"],
-            ["book","127.0.0.1","/book/","unsafe","1500ms","800ms",1,null,2,"desk"]]}"""
-        val services = """{"columns":["name","health_path","max_connections","protocol","tls","warmup","cold_per_s","sharded","warm","grants"],
-            "rows":[["board","/healthz",295,"h1",false,"3s",2.6,true,"3s","rpc"],["desk","/healthz",295,"h1",false,"3s",2.6,null,null,null]]}"""
-        val limits = """{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout":"3000ms","idle_timeout":"15000ms"}"""
-        store.put("op", "config", """{"version":"r$version","routes":$routes,"services":$services,"limits":$limits}""")
+        val routes = table(
+            "name,host,prefix,kind,timeout,target_latency,priority,traffic_split,max_attempts,service",
+            """"read","127.0.0.1","/read/","safe","1200ms","600ms",2,null,2,"board"""",
+            """"book","127.0.0.1","/book/","unsafe","1500ms","800ms",1,null,2,"desk"""",
+        )
+        val services = table(
+            "name,health_path,max_connections,protocol,tls,warmup,cold_per_s,sharded,warm,grants",
+            """"board","/healthz",295,"h1",false,"3s",2.6,true,"3s","rpc"""",
+            """"desk","/healthz",295,"h1",false,"3s",2.6,null,null,null""",
+        )
+        val bytes = """"max_header_bytes":16384,"max_body_bytes":65536"""
+        val times = """"header_timeout":"3000ms","idle_timeout":"15000ms""""
+        val head = """"version":"r$version","limits":{$bytes,$times}"""
+        store.put("op", "config", """{$head,"routes":$routes,"services":$services}""")
     }
 
-    /** Text of a settings file for the instance [name] in [domain], which listens at [callers] and the ports after it. */
+    private fun table(columns: String, vararg rows: String): String {
+        val names = columns.split(',').joinToString(",") { "\"$it\"" }
+        return """{"columns":[$names],"rows":[${rows.joinToString(",") { "[$it]" }}]}"""
+    }
+
+    /** Text of a settings file for the instance [name] in [domain], which listens at [callers] and [ports]. */
     fun settings(name: String, domain: String, callers: Address, ready: Address, ports: IntRange): String = """
         self.node=$name
         self.zone=$domain
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/KeyedServerStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/KeyedServerStandIn.kt
@@ -5,9 +5,9 @@
 
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.int
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
-import kotlinx.serialization.json.int
 import kotlinx.serialization.json.long
 import rhubarbspool.edge.HttpAnswer
 import rhubarbspool.edge.HttpCall
@@ -30,7 +30,11 @@
 }
 
 /** One server with [id]; holds keys when [sharded]. */
-class KeyedServerStandIn(private val id: String, private val sharded: Boolean, private val workMilliseconds: Long = 2) : HttpHandler {
+class KeyedServerStandIn(
+    private val id: String,
+    private val sharded: Boolean,
+    private val workMilliseconds: Long = 2
+) : HttpHandler {
     private class Held(val fence: Long, val until: Long)
 
     private val held = HashMap<IntRange, Held>()
@@ -59,9 +63,8 @@
     private fun grant(body: JsonObject): HttpAnswer {
         val range = rangeOf(body)
         val fence = body.getValue("fence").jsonPrimitive.long
-        if (held.any { (other, hold) -> other.first <= range.last && range.first <= other.last && hold.fence > fence }) {
-            return HttpAnswer(REFUSED, emptyMap(), "")
-        }
+        val overlapping = held.filterKeys { it.first <= range.last && range.first <= it.last }
+        if (overlapping.any { it.value.fence > fence }) return HttpAnswer(REFUSED, emptyMap(), "")
         val time = body.getValue("hold_time").jsonPrimitive.content.removeSuffix("ms").toLong()
         held[range] = Held(fence, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(time))
         return HttpAnswer(OK, emptyMap(), "{}")
@@ -77,17 +80,26 @@
 
     private fun request(call: HttpCall): CompletableFuture<HttpAnswer> {
         val request = call.headers["rhubarbspool-request-id"].orEmpty()
-        val key = call.headers["rhubarbspool-shard-key"]?.toIntOrNull()
-        val isOwner = !sharded || held.any { (range, hold) -> key in range && hold.until > System.nanoTime() }
         val echo = mapOf("Rhubarbspool-Request-Id" to request, "Rhubarbspool-Server-Load" to "1,0,2,100")
         val wrongServer = call.headers["rhubarbspool-target-instance"]?.let { it != id } ?: false
-        if (wrongServer || !isOwner) return done(HttpAnswer(MISDIRECTED, echo + NOT_RUN, ""))
-        if (fault == ServerFault.SHEDDING) return done(HttpAnswer(BUSY, echo + NOT_RUN, ""))
+        return when {
+            wrongServer || !owns(call.headers["rhubarbspool-shard-key"]?.toIntOrNull()) ->
+                done(HttpAnswer(MISDIRECTED, echo + NOT_RUN, ""))
+            fault == ServerFault.SHEDDING -> done(HttpAnswer(BUSY, echo + NOT_RUN, ""))
+            else -> run(request, call, echo)
+        }
+    }
+
+    private fun owns(key: Int?): Boolean =
+        !sharded || held.any { (range, hold) -> key in range && hold.until > System.nanoTime() }
+
+    private fun run(request: String, call: HttpCall, echo: Map<String, String>): CompletableFuture<HttpAnswer> {
         runs += request
-        if (fault == ServerFault.ANSWER_LOST) return CompletableFuture.failedFuture(IllegalStateException("lost"))
         val proof = echo + ("Rhubarbspool-Server-Signature" to "proof-$request")
         val status = if (fault == ServerFault.FAILING) FAILED else OK
-        return done(HttpAnswer(status, proof, "$id ${call.method} ${call.path} ${call.body}"))
+        val answer = HttpAnswer(status, proof, "$id ${call.method} ${call.path} ${call.body}")
+        val lost = fault == ServerFault.ANSWER_LOST
+        return if (lost) CompletableFuture.failedFuture(IllegalStateException("lost")) else done(answer)
     }
 
     private fun done(answer: HttpAnswer): CompletableFuture<HttpAnswer> =
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/RowStoreStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/RowStoreStandIn.kt
@@ -116,7 +116,11 @@
         val wait = query["wait_ms"]?.toLong() ?: 0
         waiters += waiter
         wake()
-        waiter.answer.completeOnTimeout(HttpAnswer(OK, JSON_TYPE, page(emptyMap()).toString()), wait, TimeUnit.MILLISECONDS)
+        waiter.answer.completeOnTimeout(
+            HttpAnswer(OK, JSON_TYPE, page(emptyMap()).toString()),
+            wait,
+            TimeUnit.MILLISECONDS
+        )
         return waiter.answer
     }
 
@@ -132,7 +136,10 @@
     }
 
     private fun transaction(body: JsonObject): CompletableFuture<HttpAnswer> {
-        fun key(entry: JsonObject) = Key(entry.getValue("table").jsonPrimitive.content, entry.getValue("key").jsonPrimitive.content)
+        fun key(entry: JsonObject) = Key(
+            entry.getValue("table").jsonPrimitive.content,
+            entry.getValue("key").jsonPrimitive.content
+        )
         val conditions = body["precondition"]?.jsonArray.orEmpty().map { it.jsonObject }
         val failed = conditions.any { entry ->
             val row = rows[key(entry)]?.takeIf { it.value != null }
