Let a reader that can't read resign when others know more; exchange versions of rows without requests too

Ruled out: the feed's history (the domain's other instances saw 410 and read again, but only once each).

--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/CommandMain.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/CommandMain.kt
@@ -18,6 +18,7 @@
             ApplyCommand(),
             StatusCommand(),
             ExplainCommand(),
+            TraceCommand(),
             DrainCommand(draining = true),
             DrainCommand(draining = false),
             QuarantineCommand(),
--- /dev/null
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/TraceCommand.kt
@@ -0,0 +1,57 @@
+/*
+ * Explains one request from collected logs: its decisions in the order of their times, with what they were based on.
+ */
+package rhubarbspool.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.multiple
+import com.github.ajalt.clikt.parameters.types.file
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+
+/** Prints the decisions about one request. */
+internal class TraceCommand : CliktCommand(name = "trace") {
+    private val id by argument("id", help = "Id of the request")
+    private val files by argument("log", help = "Logs of instances, one JSON object a line")
+        .file(mustExist = true).multiple(required = true)
+
+    private class Line(val time: String, val source: String, val decision: String, val facts: String)
+
+    override fun help(context: Context): String =
+        "Prints the decisions about a request from the logs of instances.\n\n" +
+            "Example: rhubarbspool trace 9c41d07be2a35f68 logs/*.log"
+
+    override fun run() {
+        val lines = files.flatMap { file -> file.useLines { lines -> lines.mapNotNull { read(file.name, it) }.toList() } }
+        lines.sortedBy { it.time }.forEach { echo("${it.time} ${it.source} ${it.decision} ${it.facts}") }
+        if (lines.isEmpty()) {
+            echo("no line names the request $id", err = true)
+            throw ProgramResult(ExitCodes.FAILED)
+        }
+    }
+
+    private fun read(source: String, text: String): Line? {
+        val json = parse(text.substring(maxOf(0, text.indexOf('{'))))?.takeIf { it.value("request") == id }
+        return json?.let {
+            val facts = it.keys.filterNot(HEAD::contains).joinToString(" ") { name -> "$name=${it.value(name)}" }
+            Line(it.value("@timestamp").orEmpty(), source, it.value("message").orEmpty(), facts)
+        }
+    }
+
+    private fun parse(text: String): JsonObject? = try {
+        Json.parseToJsonElement(text) as? JsonObject
+    } catch (_: SerializationException) {
+        null
+    }
+
+    private fun JsonObject.value(name: String): String? = (get(name) as? JsonPrimitive)?.content
+
+    private companion object {
+        val HEAD = setOf("@timestamp", "message", "level", "request")
+    }
+}
--- a/rhubarbspool-command/src/test/kotlin/rhubarbspool/command/CommandTest.kt
+++ b/rhubarbspool-command/src/test/kotlin/rhubarbspool/command/CommandTest.kt
@@ -19,7 +19,22 @@
     writeText("service: Bad\nshards: 0\nroutes: []\nservers: []\n")
 }
 
+private val log = File.createTempFile("instance", ".log").apply {
+    deleteOnExit()
+    writeText(
+        """
+        {"@timestamp":"2026-01-01T00:00:02Z","message":"answered","level":"INFO","status":"503","request":"r-1"}
+        not a line of ours
+        {"@timestamp":"2026-01-01T00:00:01Z","message":"pool.refused","level":"INFO","reason":"OVERLOADED","request":"r-1"}
+        {"@timestamp":"2026-01-01T00:00:01Z","message":"sent","level":"INFO","server":"s","request":"r-2"}
+        """.trimIndent(),
+    )
+}
+
 private val calls = listOf(
+    Call("trace r-1 ${log.path}", 0, "pool.refused reason=OVERLOADED"),
+    Call("trace r-1 ${log.path}", 0, "answered status=503"),
+    Call("trace r-3 ${log.path}", ExitCodes.FAILED, "no line names the request r-3"),
     Call("--help", 0, "Exit codes"),
     Call("check ${faulty.path}", ExitCodes.INVALID_DOCUMENT, "shards: found \"0\""),
     Call("check ${faulty.path}", ExitCodes.INVALID_DOCUMENT, "service: found \"Bad\""),
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CallPlanner.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CallPlanner.kt
@@ -26,8 +26,9 @@
         while (looked < document.ranges && effects.size < most) {
             val range = (cursor + looked++) % document.ranges
             val owner = document.owner(range)
-            val isIdle = owner != null && range !in busy && !holds[range].calling && inputs.view.successor(owner) == null
-            if (owner != null && isIdle) next(range, owner, inputs)?.let(effects::add)
+            val isIdle = range !in busy && !holds[range].calling
+            val lives = owner != null && isIdle && inputs.view.successor(owner) == null
+            if (owner != null && lives) next(range, owner, inputs)?.let(effects::add)
         }
         cursor = (cursor + looked) % document.ranges
         return effects
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
@@ -51,7 +51,15 @@
             val light = servers.minBy { it.busy }
             val joined = light.ranges.size < fairCount * JOINED_SHARE * light.candidate.weight / USUAL_WEIGHT
             return servers.sortedByDescending { it.busy }.take(TRIED_SERVERS).firstNotNullOfOrNull { heavy ->
-                if (heavy === light || (heavy.busy < BUSY && !joined)) null else move(heavy, smallestGain(heavy, joined), mayMove)
+                if (heavy === light || (heavy.busy < BUSY && !joined)) {
+                    null
+                } else {
+                    move(
+                        heavy,
+                        smallestGain(heavy, joined),
+                        mayMove
+                    )
+                }
             }
         }
 
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/dispatch/RetryAllowanceTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/dispatch/RetryAllowanceTest.kt
@@ -24,7 +24,11 @@
                 repeat(20) { if (allowance.take(slack / instances, now)) taken += now }
             }
         }
-        val mostInWindow = taken.distinct().ifEmpty { listOf(0L) }.maxOf { from -> taken.count { it in from until from + WINDOW } }
+        val mostInWindow = taken.distinct().ifEmpty {
+            listOf(
+                0L
+            )
+        }.maxOf { from -> taken.count { it in from until from + WINDOW } }
         val requests = instances * requestsPerSecond * WINDOW / 1_000
         mostInWindow.toDouble() shouldBeLessThanOrEqual RATIO * requests + slack
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
@@ -74,7 +74,7 @@
         context.close()
     }
 
-    override fun whole(request: CallerRequest, keepAlive: Boolean) = 
+    override fun whole(request: CallerRequest, keepAlive: Boolean) =
         handler.handle(request, turns.add(context.channel(), keepAlive, clock))
 
     override fun broken(error: RequestError) {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -32,7 +32,7 @@
     private val source: RowSource = RowSource(context, transport, platform.table) { learned() }
     private val events = object : PeerEvents {
         override fun heard(news: NewsMessage) =
-            Feed.entries.filter { news.of(it) > state.rows(it).newest }.forEach(source::behind)
+            Feed.entries.filter { news.of(it) > state.rows(it).newest }.forEach { source.behind(it, news.of(it)) }
 
         override fun loaded(load: LoadMessage) = coordinator.loaded(load)
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -7,22 +7,27 @@
 
 import java.util.concurrent.TimeUnit
 
-/** Reads [feed] while it is active; [received] hears every page while calls fail it tries again with growing pauses. */
+/** Reads [feed] while it is active; [received] hears every page. Failed calls are repeated. */
 internal class FeedFollower(
     private val feed: Feed,
     private val table: PlatformTable,
     private val context: ProcessContext,
     private val received: (Feed, FeedPage) -> Unit,
 ) {
+    private val pause = if (feed == Feed.SHARED) SHARED_PAUSE_MILLISECONDS else BATCH_MILLISECONDS
     private var round = 0L
     private var startedAt = 0L
     private var failures = 0
     private var scannedAt = context.clock()
     private var historyLostAt = scannedAt - DOUBTFUL_MILLISECONDS
 
-    /** Since when calls have failed; null while they succeed. */
-    var troubledSince: Long? = null
-        private set
+    private var failingSince: Long? = null
+    private var behindSince = 0L
+    private var behindVersion = 0L
+    private val isBehind: Boolean get() = context.state.rows(feed).newest < behindVersion
+
+    /** Since when nothing could be read that should have been; null while reading works. */
+    val troubledSince: Long? get() = listOfNotNull(failingSince, behindSince.takeIf { isBehind }).minOrNull()
 
     /** Whether this follower reads the table. */
     var isActive: Boolean = false
@@ -38,8 +43,6 @@
     /** Stops reading; an open call's answer is dropped. */
     fun stop() {
         isActive = false
-        troubledSince = null
-        failures = 0
         round++
     }
 
@@ -49,15 +52,13 @@
         if (context.state.rows(feed).version == null) scan() else follow(0)
     }
 
-    /** Another instance knows newer rows. */
-    fun behind() {
-        if (context.clock() - startedAt < PATIENCE_MILLISECONDS) return
-        context.log.event(
-            "feed.behind",
-            "feed" to feed,
-            "version" to context.state.rows(feed).version,
-            "active" to isActive
-        )
+    /** Another instance knows a row of [version]: unless it comes soon, this one can't read although its call is open. */
+    fun behind(version: Long) {
+        val now = context.clock()
+        if (!isBehind) behindSince = now
+        behindVersion = version
+        if (now - startedAt < PATIENCE_MILLISECONDS) return
+        context.log.event("feed.behind", "feed" to feed, "version" to context.state.rows(feed).version)
         if (isActive) follow() else look()
     }
 
@@ -87,16 +88,16 @@
 
     private fun merged(page: FeedPage) {
         val now = context.clock()
-        troubledSince?.let { context.log.event("table.regained", "feed" to feed, "after" to now - it) }
-        troubledSince = null
+        failingSince?.let { context.log.event("table.regained", "feed" to feed, "after" to now - it) }
+        failingSince = null
         failures = 0
         val quiet = page.rows.isEmpty()
         received(feed, page)
         if (page.complete) scannedAt = now
-        if (isActive) goOn(if (quiet) 0 else pauseOf(feed))
+        if (isActive) goOn(if (quiet) 0 else pause)
     }
 
-    /** Around a loss of history feeds may have left changes out and reads may be old, so all rows are read repeatedly. */
+    /** Around a loss of history feeds may leave changes out and reads may be old: all rows are read repeatedly. */
     private fun historyLost() {
         val version = context.state.rows(feed).version
         context.log.event("feed.history-lost", "feed" to feed, "version" to version)
@@ -115,12 +116,10 @@
         context.loop.schedule({ if (mine == round) next() }, pause, TimeUnit.MILLISECONDS)
     }
 
-    private fun pauseOf(feed: Feed): Long = if (feed == Feed.SHARED) SHARED_PAUSE_MILLISECONDS else BATCH_MILLISECONDS
-
     private fun failed(failure: Throwable) {
         val now = context.clock()
-        if (troubledSince == null) {
-            troubledSince = now
+        if (failingSince == null) {
+            failingSince = now
             context.log.event("table.lost", "feed" to feed, "cause" to failure.message)
         }
         context.metrics.tableFailed(feed.name)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
@@ -46,6 +46,7 @@
     private val suspects = HashMap<InstanceName, Long>()
     private val local = HashMap<Long, (DecisionMessage) -> Unit>()
     private var nextId = 0L
+    private var gossipedAt = 0L
 
     init {
         pools.attach(self) { decision -> local[decision.id]?.invoke(decision) }
@@ -55,7 +56,7 @@
     fun ask(question: AskMessage, now: Long, decided: (DecisionMessage) -> Unit): OpenAsk {
         val ask = question.copy(id = ++nextId)
         val holder = holderOf(ask.pool, now)?.takeIf { it.instance != context.settings.instance }
-        val link = holder?.let { links.getOrPut(it.peers) { link(it) } }
+        val link = holder?.let(::linkTo)
         if (link == null) {
             local[ask.id] = decided
             pools.ask(self, ask, now)
@@ -79,12 +80,17 @@
         if (instance == context.settings.instance) {
             events.loaded(load)
         } else {
-            links.getOrPut(member.peers) { link(member) }.tell(PeerMessage(load = load), now)
+            linkTo(member).tell(PeerMessage(load = load), now)
         }
     }
 
-    /** Gives up connections that went silent by [now]. */
+    /** Gives up connections that went silent by [now], and exchanges versions with some other instance. */
     fun tick(now: Long) {
+        if (now - gossipedAt >= GOSSIP_MILLISECONDS) {
+            gossipedAt = now
+            val others = context.state.shared.members.values.filter { it.instance != context.settings.instance }
+            others.randomOrNull()?.let { other -> linkTo(other).tell(PeerMessage(ping = true), now) }
+        }
         links.values.filter { it.isSilent(now) || it.isUnused(now) }.forEach { it.giveUp() }
         suspects.values.removeAll { it <= now }
     }
@@ -111,9 +117,13 @@
         if (isNews) context.log.belief("instance", "instance" to instance, "state" to "unreachable")
     }
 
-    private fun link(holder: Member) = PeerLink(context, transport, holder.peers, self, this)
+    private fun linkTo(member: Member): PeerLink =
+        links.getOrPut(member.peers) { PeerLink(context, transport, member.peers, self, this) }
 
     private companion object {
+        /** News of rows reaches most instances within a few rounds, also where there are no requests. */
+        const val GOSSIP_MILLISECONDS = 500L
+
         /** How long an instance that could not be reached is passed over. */
         const val SUSPECT_MILLISECONDS = 1_500L
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -29,15 +29,15 @@
     /** Begins with the rows that the instances share: they tell who else reads. */
     fun start() = followers.getValue(Feed.SHARED).look()
 
-    /** Another instance has read more of [feed] than this one. */
-    fun behind(feed: Feed) = followers.getValue(feed).behind()
+    /** Another instance has read a row of [feed] with a [version] that this one does not know. */
+    fun behind(feed: Feed, version: Long) = followers.getValue(feed).behind(version)
 
     /** Decides at [now] whom to learn from. */
     fun tick(now: Long) {
         if (!isIntroduced(now)) return look(now, INTRODUCED_MILLISECONDS)
         resignIfTroubled(now)
         subscription?.takeIf { it.isSilent(now) }?.let(::failed)
-        val reader = choice.choose(ranked(), now) ?: self
+        val reader = choice.choose(readers(context), now) ?: self
         val reads = reader == self || !subscribers.isEmpty
         followers.values.forEach { if (reads) it.start() else it.stop() }
         if (subscription?.reader != reader) subscribe(reader)
@@ -77,17 +77,13 @@
         followers.values.forEach { it.look() }
     }
 
-    private fun ranked(): List<InstanceName> {
-        val (near, far) = context.state.shared.members.values.partition { it.domain == context.settings.domain }
-        return listOf(near, far).flatMap { members ->
-            Rendezvous.order(SUBJECT, members) { it.instance.text }.map { it.instance }
-        }
-    }
-
+    /** An instance that can't read stays out until it has read again. */
     private fun resignIfTroubled(now: Long) {
         val since = followers.values.mapNotNull { it.troubledSince }.minOrNull() ?: now
-        if (now - since <= TROUBLED_MILLISECONDS || choice.isPassedOver(self, now)) return
+        if (now - since <= TROUBLED_MILLISECONDS) return
+        val isNews = !choice.isPassedOver(self, now)
         choice.passOver(self, now)
+        if (!isNews) return
         context.log.belief("reader", "instance" to self, "state" to "resigned")
         subscribers.resign()
     }
@@ -101,7 +97,6 @@
     }
 
     private companion object {
-        const val SUBJECT = "reader"
 
         /** All instances of an installation start within a third of a second of each other. */
         const val INTRODUCED_MILLISECONDS = 600L
@@ -110,9 +105,17 @@
         const val ALONE_MILLISECONDS = 3_000L
 
         /** A reader whose calls fail for so long lets another one read. */
-        const val TROUBLED_MILLISECONDS = 500L
+        const val TROUBLED_MILLISECONDS = 700L
 
         /** An instance that could not read tries by itself this often, in case nobody else can either. */
         const val LOOK_MILLISECONDS = 1_500L
     }
 }
+
+/** All instances in the order in which they read for this one: those of its own domain first. */
+private fun readers(context: ProcessContext): List<InstanceName> {
+    val (near, far) = context.state.shared.members.values.partition { it.domain == context.settings.domain }
+    return listOf(near, far).flatMap { members ->
+        Rendezvous.order("reader", members) { it.instance.text }.map { it.instance }
+    }
+}
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
@@ -27,6 +27,9 @@
     /** Servers by their ids. */
     val servers = LinkedHashMap<String, KeyedServerStandIn>()
 
+    /** Another address of the store, for instances that are cut off from it by themselves. */
+    fun door(): StoreDoor = StoreDoor(store).also { it.address = listen(it) }
+
     /** Starts a server of [service] in [domain] and enters it. */
     fun server(id: String, service: String, domain: String, sharded: Boolean): KeyedServerStandIn {
         val server = KeyedServerStandIn(id, sharded)
@@ -66,7 +69,14 @@
     }
 
     /** Text of a settings file for the instance [name] in [domain], which listens at [callers] and [ports]. */
-    fun settings(name: String, domain: String, callers: Address, ready: Address, ports: IntRange): String = """
+    fun settings(
+        name: String,
+        domain: String,
+        callers: Address,
+        ready: Address,
+        ports: IntRange,
+        door: Address = storeAddress,
+    ): String = """
         self.node=$name
         self.zone=$domain
         network.listen.front=$callers
@@ -74,7 +84,7 @@
         network.port_range=${ports.first},${ports.last}
         network.zones.east=region
         network.zones.west=region
-        platform.platform.address=$storeAddress
+        platform.platform.address=$door
         terms.bounds.grace=3s
         terms.bounds.retry_budget_ratio=0.2
         terms.bounds.retry_budget_slack=50
