--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/AttemptPolicy.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/AttemptPolicy.kt
@@ -39,6 +39,9 @@
 object AttemptPolicy {
     private const val MAXIMUM_REFUSALS = 6
 
+    /** A move that takes longer than the tries so far has stalled; it ends when another instance coordinates. */
+    private const val MAXIMUM_MISDIRECTIONS = 2
+
     /** Less time than this is too short for another try. */
     private const val SHORTEST_TRY_MILLISECONDS = 60L
 
@@ -59,10 +62,10 @@
     private fun againOr(error: ErrorKind, again: Boolean, delay: Long = 0): NextStep =
         if (again) NextStep.TryAgain(delay) else NextStep.Fail(error)
 
-    private fun refused(outcome: CallOutcome, state: AttemptState, takeRetry: () -> Boolean): NextStep = when {
-        mayAsk(state) && takeRetry() -> NextStep.TryAgain(delayOf(outcome, state))
-        state.runs > 0 -> NextStep.Fail(ErrorKind.OUTCOME_UNKNOWN)
-        else -> NextStep.Fail(ErrorKind.REJECTED)
+    private fun refused(outcome: CallOutcome, state: AttemptState, takeRetry: () -> Boolean): NextStep {
+        val stalled = outcome == CallOutcome.MISDIRECTED && state.refusals > MAXIMUM_MISDIRECTIONS
+        val error = if (state.runs > 0) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.REJECTED
+        return againOr(error, !stalled && mayAsk(state) && takeRetry(), delayOf(outcome, state))
     }
 
     private fun delayOf(outcome: CallOutcome, state: AttemptState): Long = when {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/HoldTimes.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/HoldTimes.kt
@@ -23,8 +23,8 @@
     /** A call that failed is repeated after this time. */
     const val RETRY: Long = 300
 
-    /** Servers' and instances' wall clocks agree within this time. */
-    const val CLOCK_MARGIN: Long = 1_000
+    /** Servers' and instances' wall clocks agree within this time; steps of two seconds happen. */
+    const val CLOCK_MARGIN: Long = 2_500
 
     /** A server's clock may run two percent slow (platform's bound). */
     private const val DRIFT_PERCENT = 2
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/dispatch/AttemptPolicyTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/dispatch/AttemptPolicyTest.kt
@@ -47,6 +47,13 @@
         ),
         AttemptCase("a refusal after a run promises nothing", CallOutcome.SHED, repeatable, false, unknown),
         AttemptCase("a key on the move", CallOutcome.MISDIRECTED, notRun, true, NextStep.TryAgain(150)),
+        AttemptCase(
+            "a key whose move has stalled is refused before the deadline",
+            CallOutcome.MISDIRECTED,
+            notRun.copy(refusals = 3),
+            true,
+            NextStep.Fail(ErrorKind.REJECTED),
+        ),
         AttemptCase("no connection", CallOutcome.UNREACHABLE, notRun, false, again),
         AttemptCase(
             "no connection and no time",
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -64,6 +64,11 @@
         )
     }
 
+    /** Takes over what of [next] may change while the process runs. */
+    fun reload(next: EntrySettings) {
+        loop.execute { context.reload(next) }
+    }
+
     /** Stops in a planned way: no new callers, then what is open is answered, then the rest is closed. */
     override fun stop() {
         log.event("stopping", "instance" to settings.instance, "connections" to callers.count)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
@@ -8,13 +8,31 @@
 
 /** The process's settings, beliefs and clocks; everything runs on [loop]. */
 internal class ProcessContext(
-    val settings: EntrySettings,
+    settings: EntrySettings,
     val state: EntryState,
     val loop: EventLoop,
     val log: DecisionLog,
     val metrics: EntryMetrics,
     val now: () -> Now,
 ) {
+    /** The settings in force. */
+    var settings: EntrySettings = settings
+        private set
+
+    /** Takes over [next]; addresses and names can't change while the process runs. */
+    fun reload(next: EntrySettings) {
+        val kept = next.copy(
+            instance = settings.instance,
+            domain = settings.domain,
+            callers = settings.callers,
+            readiness = settings.readiness,
+            peers = settings.peers,
+            metrics = settings.metrics,
+        )
+        log.event("settings.reloaded", "changed" to (kept != settings), "needsRestart" to (kept != next))
+        settings = kept
+    }
+
     /** Monotonic milliseconds. */
     fun clock(): Long = now().monotonic
 }
