Take waiting connections and first requests before a planned stop closes

A second case with twenty callers that send 200 ms after connecting showed it each time (20 of 20 cut off). Change: the listening socket accepts what waits before it closes; the first request of a new connection is waited for 0.5 s. PlannedStopTest stands in a file of its name.

--- a/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/TraceCommand.kt
+++ b/rhubarbspool-command/src/main/kotlin/rhubarbspool/command/TraceCommand.kt
@@ -27,7 +27,16 @@
             "Example: rhubarbspool trace 9c41d07be2a35f68 logs/*.log"
 
     override fun run() {
-        val lines = files.flatMap { file -> file.useLines { lines -> lines.mapNotNull { read(file.name, it) }.toList() } }
+        val lines = files.flatMap { file ->
+            file.useLines { lines ->
+                lines.mapNotNull {
+                    read(
+                        file.name,
+                        it
+                    )
+                }.toList()
+            }
+        }
         lines.sortedBy { it.time }.forEach { echo("${it.time} ${it.source} ${it.decision} ${it.facts}") }
         if (lines.isEmpty()) {
             echo("no line names the request $id", err = true)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -52,7 +52,7 @@
         if (context.state.rows(feed).version == null) scan() else follow(0)
     }
 
-    /** Another instance knows a row of [version]: unless it comes soon, this one can't read although its call is open. */
+    /** Another instance knows a row of [version]: unless it comes soon, this one can't read. */
     fun behind(version: Long) {
         val now = context.clock()
         if (!isBehind) behindSince = now
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerConnection.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerConnection.kt
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.handler.timeout.IdleStateEvent
 import io.netty.util.ReferenceCountUtil
+import rhubarbspool.edge.ProcessClock
 import rhubarbspool.errors.ErrorKind
 import rhubarbspool.errors.RequestError
 
@@ -31,8 +32,15 @@
     private var reading: ReceivedRequest? = null
     private lateinit var turns: CallerTurns
 
-    /** Whether nothing is under way. */
-    val isIdle: Boolean get() = turns.isIdle && reading == null
+    private val openedAt = ProcessClock.monotonic()
+    private var asked = false
+
+    /** Whether nothing is under way; the first request of a new connection is waited for. */
+    val isIdle: Boolean
+        get() {
+            val awaited = !asked && ProcessClock.monotonic() - openedAt < FIRST_REQUEST_MILLISECONDS
+            return turns.isIdle && reading == null && !awaited
+        }
 
     /** Closes the connection when nothing is under way on it. */
     fun closeIfIdle() = turns.closeIf { isIdle }
@@ -78,6 +86,7 @@
     }
 
     private fun begin(context: ChannelHandlerContext, request: HttpRequest) {
+        asked = true
         val peer = context.channel().remoteAddress().toString().substringBeforeLast(':')
         val accepted = if (full) FULL.left() else entry.accept(request, peer)
         val error = accepted.leftOrNull()
@@ -110,6 +119,8 @@
     }
 
     private companion object {
+        /** A caller sends its first request within this time of connecting, also where both sides are busy. */
+        const val FIRST_REQUEST_MILLISECONDS = 500L
         const val FULL_RETRY_MILLISECONDS = 1_000L
         val FULL = RequestError(ErrorKind.TOO_MANY_CONNECTIONS, retryAfterMilliseconds = FULL_RETRY_MILLISECONDS)
     }
--- a/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerServer.kt
+++ b/rhubarbspool-router/src/main/kotlin/rhubarbspool/router/CallerServer.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.timeout.IdleStateHandler
@@ -28,7 +27,7 @@
 
     /** Listens on [address]. */
     fun listen(address: Address) {
-        listener = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+        listener = ServerBootstrap().group(group).channel(DrainingServerChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/rhubarbspool-router/src/test/kotlin/rhubarbspool/router/SystemTest.kt
+++ b/rhubarbspool-router/src/test/kotlin/rhubarbspool/router/SystemTest.kt
@@ -14,8 +14,6 @@
 import rhubarbspool.standins.PlatformFaults
 import rhubarbspool.standins.ServerBehaviour
 import java.net.Socket
-import java.util.concurrent.atomic.AtomicBoolean
-import java.util.concurrent.atomic.AtomicInteger
 
 /** A request that callers get wrong, and the error that answers it. */
 private data class WrongRequest(val text: String, val status: Int, val error: String)
@@ -41,7 +39,7 @@
 private val HttpAnswer.origin: String
     get() = headers["rhubarbspool-server"] ?: "$status ${headers["rhubarbspool-error"]}"
 
-private fun Socket.exchange(text: String): String {
+internal fun Socket.exchange(text: String): String {
     soTimeout = 5_000
     getOutputStream().write(text.toByteArray())
     getOutputStream().flush()
@@ -137,37 +135,3 @@
         system.ask(0, "key-$key").origin shouldBe system.ask(1, "key-$key").origin
     }
 })
-
-class PlannedStopTest : FunSpec({
-    test("a router that is stopped under load cuts off no request") {
-        TestSystem(ServerBehaviour(serviceMilliseconds = 20.0)).use { system ->
-            val stopping = AtomicBoolean()
-            val cut = AtomicInteger()
-            val served = AtomicInteger()
-            val callers = List(8) { number ->
-                Thread {
-                    while (!stopping.get()) ask(system, "key-$number", served, cut)
-                }.also(Thread::start)
-            }
-            Thread.sleep(300)
-            system.routers[0].stop()
-            stopping.set(true)
-            callers.forEach(Thread::join)
-            cut.get() shouldBe 0
-            (served.get() > 20) shouldBe true
-        }
-    }
-})
-
-/** Asks over a connection of its own; once connected, the request must be served. */
-private fun ask(system: TestSystem, key: String, served: AtomicInteger, cut: AtomicInteger) {
-    val socket = runCatching { system.connect(0) }.getOrNull() ?: return Thread.sleep(5)
-    val text = "GET /ledger/boats/$key HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
-    val answer = runCatching { socket.use { it.exchange(text) } }.getOrDefault("")
-    if ("HTTP/1.1 200" in answer) {
-        served.incrementAndGet()
-    } else {
-        cut.incrementAndGet()
-        println("not served: ${answer.lines().firstOrNull { "rhubarbspool-error" in it } ?: answer}")
-    }
-}
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/DrillMain.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/DrillMain.kt
@@ -26,18 +26,16 @@
     }
 
     private fun drill(world: InstanceWorld, file: Path): Int {
-        val callers = InstanceWorld.freeAddress()
-        val ready = InstanceWorld.freeAddress()
-        val ports = InstanceWorld.freeAddress().port
+        val listening = Listening()
         world.configure(1)
         listOf("s1", "s2", "s3").forEach { world.server(it, "board", "east", sharded = true) }
         world.server("s4", "desk", "east", sharded = false)
-        Files.writeString(file, world.settings("drill", "east", callers, ready, ports..ports + 1))
+        Files.writeString(file, world.settings("drill", "east", listening))
         val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
         val end = System.currentTimeMillis() + PATIENCE_MILLISECONDS
         var served = 0
         while (served < REQUESTS && System.currentTimeMillis() < end) {
-            if (send(client, "http://$callers", served)) served++ else Thread.sleep(PAUSE_MILLISECONDS)
+            if (send(client, "http://${listening.callers}", served)) served++ else Thread.sleep(PAUSE_MILLISECONDS)
         }
         return served
     }
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
@@ -13,6 +13,13 @@
 import java.net.ServerSocket
 import java.util.concurrent.TimeUnit
 
+/** Where an instance listens: to callers, to the question whether it is ready, and to other instances. */
+data class Listening(
+    val callers: Address = InstanceWorld.freeAddress(),
+    val ready: Address = InstanceWorld.freeAddress(),
+    val peers: Address = InstanceWorld.freeAddress(),
+)
+
 /** Store and servers; [close] ends them. */
 class InstanceWorld : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
@@ -68,20 +75,13 @@
         return """{"columns":[$names],"rows":[${rows.joinToString(",") { "[$it]" }}]}"""
     }
 
-    /** Text of a settings file for the instance [name] in [domain], which listens at [callers] and [ports]. */
-    fun settings(
-        name: String,
-        domain: String,
-        callers: Address,
-        ready: Address,
-        ports: IntRange,
-        door: Address = storeAddress,
-    ): String = """
+    /** Text of a settings file for the instance [name] in [domain], which reaches the store at [door]. */
+    fun settings(name: String, domain: String, listening: Listening, door: Address = storeAddress): String = """
         self.node=$name
         self.zone=$domain
-        network.listen.front=$callers
-        network.listen.ready=$ready
-        network.port_range=${ports.first},${ports.last}
+        network.listen.front=${listening.callers}
+        network.listen.ready=${listening.ready}
+        network.port_range=${listening.peers.port},${listening.peers.port + 1}
         network.zones.east=region
         network.zones.west=region
         platform.platform.address=$door
