Say at once that a reader has resigned, pass news on whoever read it, and let a look run to its end

Ruled out: the store's 429 (it had ended three seconds before). Change: a resigned reader says so to each new subscriber; told rows are passed on; stopping twice does nothing; a look runs for 1.2 s before it is made anew; versions are told four times a second.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -44,10 +44,12 @@
     /** Servers of [service] that take new work. */
     fun usable(service: ServiceName): List<BackendEntry> = directory.usable(service, evacuated)
 
-    /** Takes in [page] of [feed] at [now]. */
-    fun merge(feed: Feed, page: FeedPage, now: Long) {
-        rows(feed).merge(page, now).mapNotNull { decoder.decode(feed, it, now) }.forEach { merge(it, now) }
+    /** Takes in [page] of [feed] at [now]; true when it brought news. */
+    fun merge(feed: Feed, page: FeedPage, now: Long): Boolean {
+        val news = rows(feed).merge(page, now)
+        news.mapNotNull { decoder.decode(feed, it, now) }.forEach { merge(it, now) }
         changes++
+        return news.isNotEmpty()
     }
 
     private fun merge(item: FeedItem, now: Long) = when (item) {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -42,6 +42,7 @@
 
     /** Stops reading; an open call's answer is dropped. */
     fun stop() {
+        if (!isActive) return
         isActive = false
         round++
     }
@@ -57,7 +58,7 @@
         val now = context.clock()
         if (!isBehind) behindSince = now
         behindVersion = version
-        if (now - startedAt < PATIENCE_MILLISECONDS) return
+        if (now - startedAt < if (isActive) PATIENCE_MILLISECONDS else LOOK_MILLISECONDS) return
         context.log.event("feed.behind", "feed" to feed, "version" to context.state.rows(feed).version)
         if (isActive) follow() else look()
     }
@@ -151,6 +152,9 @@
 
         /** A call younger than this is not made anew on other instances' news. */
         const val PATIENCE_MILLISECONDS = 500L
+
+        /** A look that gets no answer fails within this time. */
+        const val LOOK_MILLISECONDS = 1_200L
         const val FIRST_RETRY_MILLISECONDS = 200L
         const val MAXIMUM_DOUBLINGS = 2
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
@@ -122,7 +122,7 @@
 
     private companion object {
         /** News of rows reaches most instances within a few rounds, also where there are no requests. */
-        const val GOSSIP_MILLISECONDS = 500L
+        const val GOSSIP_MILLISECONDS = 250L
 
         /** How long an instance that could not be reached is passed over. */
         const val SUSPECT_MILLISECONDS = 1_500L
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -17,11 +17,11 @@
     private val changed: () -> Unit,
 ) : SubscriptionEvents {
     private val self = context.settings.instance
-    private val followers = Feed.entries.associateWith { FeedFollower(it, table, context, ::read) }
+    private val followers = Feed.entries.associateWith { FeedFollower(it, table, context, ::told) }
     private val choice = ReaderChoice()
 
     /** Instances that learn from this one. */
-    val subscribers = RowSubscribers(context, transport)
+    val subscribers = RowSubscribers(context, transport) { choice.isPassedOver(self, context.clock()) }
     private var subscription: Subscription? = null
     private val startedAt = context.clock()
     private var lookedAt = startedAt
@@ -44,9 +44,11 @@
         if (!reads && choice.isPassedOver(self, now)) look(now, LOOK_MILLISECONDS)
     }
 
+    /** News is passed on wherever it came from: an instance that does not read may be asked by others for a moment. */
     override fun told(feed: Feed, page: FeedPage) {
-        context.state.merge(feed, page, context.clock())
+        if (!context.state.merge(feed, page, context.clock())) return
         changed()
+        subscribers.tell(feed, page)
     }
 
     override fun failed(subscription: Subscription) {
@@ -58,13 +60,6 @@
         if (this.subscription === subscription) this.subscription = null
     }
 
-    private fun read(feed: Feed, page: FeedPage) {
-        context.state.merge(feed, page, context.clock())
-        if (page.rows.isEmpty()) return
-        changed()
-        subscribers.tell(feed, page)
-    }
-
     /** Whether this instance stands in the shared rows, so that others that start now are seen there as well. */
     private fun isIntroduced(now: Long): Boolean {
         val known = context.state.rows(Feed.SHARED).version != null
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
@@ -5,8 +5,12 @@
 
 import io.netty.channel.Channel
 
-/** Passes rows on. */
-internal class RowSubscribers(private val context: ProcessContext, private val transport: PeerTransport) {
+/** Passes rows on; [resigned] says whether this instance can't read the table. */
+internal class RowSubscribers(
+    private val context: ProcessContext,
+    private val transport: PeerTransport,
+    private val resigned: () -> Boolean,
+) {
     private val channels = HashSet<Channel>()
 
     /** Whether anybody learns from here. */
@@ -23,6 +27,7 @@
                 transport.send(channel, PeerMessage(rows = RowsMessage(feed, changes)))
             }
         }
+        if (resigned()) transport.send(channel, RESIGNATION)
     }
 
     /** Forgets [channel]. */
@@ -36,5 +41,9 @@
     }
 
     /** Says that this instance can't read the table. */
-    fun resign() = channels.forEach { transport.send(it, PeerMessage(rows = RowsMessage(resigns = true))) }
+    fun resign() = channels.forEach { transport.send(it, RESIGNATION) }
+
+    private companion object {
+        val RESIGNATION = PeerMessage(rows = RowsMessage(resigns = true))
+    }
 }
--- a/rhubarbspool-router/src/test/kotlin/rhubarbspool/router/SystemTest.kt
+++ b/rhubarbspool-router/src/test/kotlin/rhubarbspool/router/SystemTest.kt
@@ -12,7 +12,6 @@
 import rhubarbspool.edge.HttpAnswer
 import rhubarbspool.edge.HttpCall
 import rhubarbspool.standins.PlatformFaults
-import rhubarbspool.standins.ServerBehaviour
 import java.net.Socket
 
 /** A request that callers get wrong, and the error that answers it. */
