--- a/rhubarbspool-router/src/test/kotlin/rhubarbspool/router/TestSystem.kt
+++ b/rhubarbspool-router/src/test/kotlin/rhubarbspool/router/TestSystem.kt
@@ -28,6 +28,7 @@
 import rhubarbspool.model.ServerName
 import rhubarbspool.model.ServiceName
 import rhubarbspool.standins.BackendStandIn
+import rhubarbspool.standins.FreeAddresses
 import rhubarbspool.standins.PlatformStandIn
 import rhubarbspool.standins.ServerBehaviour
 import rhubarbspool.table.Condition
@@ -36,7 +37,6 @@
 import rhubarbspool.table.RowKeys
 import rhubarbspool.table.Transaction
 import rhubarbspool.table.Write
-import java.net.ServerSocket
 import java.net.Socket
 
 internal class TestSystem(behaviour: ServerBehaviour = ServerBehaviour(serviceMilliseconds = 2.0)) : AutoCloseable {
@@ -135,6 +135,6 @@
         const val PATIENCE_NANOSECONDS = 30_000_000_000L
         val SERVICE = ServiceName("ledger")
 
-        fun freeAddress(): Address = ServerSocket(0).use { Address("127.0.0.1", it.localPort) }
+        fun freeAddress(): Address = FreeAddresses.next()
     }
 }
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/InstanceWorld.kt
@@ -10,7 +10,7 @@
 import rhubarbspool.edge.HttpHandler
 import rhubarbspool.edge.HttpService
 import rhubarbspool.model.Address
-import java.net.ServerSocket
+import rhubarbspool.standins.FreeAddresses
 import java.util.concurrent.TimeUnit
 
 /** Where an instance listens: to callers, to the question whether it is ready, and to other instances. */
@@ -106,6 +106,6 @@
         private const val BORN = 1_700_000_000_000L
 
         /** An address on the loopback interface whose port is free. */
-        fun freeAddress(): Address = ServerSocket(0).use { Address("127.0.0.1", it.localPort) }
+        fun freeAddress(): Address = FreeAddresses.next()
     }
 }
