Send nothing to owners in an evacuated domain after a bound

Cause: an owner of keys in an evacuated domain went on getting requests for as long as the coordinator had not moved its ranges.

Ruled out: moving these ranges before renewals after a takeover alone. It shortens the time but bounds nothing.

Change: the directory of servers holds evacuations with the time since when they are known here, and says whether a leaving server may still be served; dispatcher, ingress and the last look before sending ask it.

Test: EvacuationTest failed before (200 in place of 503), ServerDirectoryTest has the bounds.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
@@ -1,6 +1,6 @@
 /*
- * The backend servers that this instance knows of. Entries that lapse around an outage of the platform's table are
- * kept for a moment after its return, since living servers register again then.
+ * The backend servers that this instance knows of, and which of them take work. Entries that lapse around an outage of
+ * the platform's table are kept for a moment after its return, since living servers register again then.
  */
 package rhubarbspool.traffic
 
@@ -13,6 +13,7 @@
     private val entries = HashMap<ServerName, BackendEntry>()
     private val lapsing = HashMap<ServerName, Long>()
     private val drainingSince = HashMap<ServerName, Long>()
+    private val evacuatedSince = HashMap<FailureDomainName, Long>()
     private var troubledAt = Long.MIN_VALUE / 2
 
     /** Grows with every change. */
@@ -25,17 +26,40 @@
     /** The entry of [server]; null when it has gone. */
     operator fun get(server: ServerName): BackendEntry? = entries[server]
 
-    /** Servers of [service] that take new work, outside [evacuated] domains. */
-    fun usable(service: ServiceName, evacuated: Set<FailureDomainName>): List<BackendEntry> =
-        entries.values.filter { it.service == service && it.state == ServerState.READY && it.domain !in evacuated }
+    /** Domains whose servers are to get no new work. */
+    val evacuated: Set<FailureDomainName> get() = evacuatedSince.keys
+
+    /** Servers of [service] that take new work. */
+    fun usable(service: ServiceName): List<BackendEntry> =
+        entries.values.filter { it.service == service && it.state == ServerState.READY && it.domain !in evacuatedSince }
+
+    /** Whether [server] is leaving: it drains, or its domain is evacuated. */
+    fun isLeaving(server: ServerName): Boolean =
+        server in drainingSince || entries[server]?.domain in evacuatedSince
+
+    /** Whether [server] may get work at [now]; one that is leaving may for a moment, since its keys are on the move. */
+    fun mayStillServe(server: ServerName, now: Long): Boolean {
+        val entry = entries[server] ?: return false
+        val draining = drainingSince[server]?.let { now - it >= DRAINING_MILLISECONDS } ?: false
+        val evacuated = evacuatedSince[entry.domain]?.let { now - it >= EVACUATED_MILLISECONDS } ?: false
+        return !draining && !evacuated
+    }
 
     /** Notes that the table failed to answer at [now]. */
     fun troubled(now: Long) {
         troubledAt = now
     }
 
-    /** Since when [server] has been known to drain; null when it does not. */
-    fun drainingSince(server: ServerName): Long? = drainingSince[server]
+    /** Takes in at [now] whether [domain] is evacuated; true when that is news. */
+    fun evacuate(domain: FailureDomainName, active: Boolean, now: Long): Boolean {
+        val changed = if (active) {
+            evacuatedSince.putIfAbsent(domain, now) == null
+        } else {
+            evacuatedSince.remove(domain) != null
+        }
+        if (changed) changes++
+        return changed
+    }
 
     /** Takes in [entry] at [now]. */
     fun put(entry: BackendEntry, now: Long) {
@@ -72,5 +96,14 @@
     private companion object {
         /** Living servers register again within about two seconds of the table's return (platform's contract). */
         const val LAPSE_MILLISECONDS = 2_000L
+
+        /** A draining server may get work for two seconds after it said so (platform's bound); the rest is transit. */
+        const val DRAINING_MILLISECONDS = 1_500L
+
+        /**
+         * An evacuated domain may get work for five seconds (platform's bound), of which an instance that has just
+         * started does not know how many are over: it is held to the bound three seconds after its start.
+         */
+        const val EVACUATED_MILLISECONDS = 1_800L
     }
 }
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/traffic/ServerDirectoryTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/traffic/ServerDirectoryTest.kt
@@ -47,10 +47,40 @@
     test("draining servers and evacuated domains get no new work") {
         val directory = ServerDirectory()
         directory.put(entry, 0)
-        directory.usable(service, emptySet()) shouldBe listOf(entry)
-        directory.usable(service, setOf(domain)) shouldBe emptyList()
+        directory.usable(service) shouldBe listOf(entry)
+        directory.evacuate(domain, active = true, 100) shouldBe true
+        directory.usable(service) shouldBe emptyList()
+        directory.evacuate(domain, active = false, 200) shouldBe true
+        directory.usable(service) shouldBe listOf(entry)
         directory.put(entry.copy(state = ServerState.DRAINING), 500)
-        directory.usable(service, emptySet()) shouldBe emptyList()
-        directory.drainingSince(name) shouldBe 500
+        directory.usable(service) shouldBe emptyList()
+    }
+
+    data class LeavingCase(val what: String, val leave: (ServerDirectory) -> Unit, val lastAt: Long)
+
+    listOf(
+        LeavingCase("that drains", { it.put(entry.copy(state = ServerState.DRAINING), 500) }, 1_999),
+        LeavingCase("of an evacuated domain", { it.evacuate(domain, active = true, 500) }, 2_299),
+        LeavingCase("whose evacuation is told again", { directory ->
+            listOf(500L, 1_500L).forEach { directory.evacuate(domain, active = true, it) }
+        }, 2_299),
+    ).forEach { case ->
+        test("an owner ${case.what} works for its keys for a bounded time, also when they find no new owner") {
+            val directory = ServerDirectory()
+            directory.put(entry, 0)
+            directory.isLeaving(name) shouldBe false
+            case.leave(directory)
+            directory.isLeaving(name) shouldBe true
+            directory.mayStillServe(name, case.lastAt) shouldBe true
+            directory.mayStillServe(name, case.lastAt + 1) shouldBe false
+        }
+    }
+
+    test("an owner whose domain is taken back works for its keys again") {
+        val directory = ServerDirectory()
+        directory.put(entry, 0)
+        directory.evacuate(domain, active = true, 500)
+        directory.evacuate(domain, active = false, 5_000)
+        directory.mayStillServe(name, 5_000) shouldBe true
     }
 })
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
@@ -57,7 +57,7 @@
     private fun view(service: ServiceName, now: Now) = OwnershipView(
         context.state.directory.all.filter { it.service == service },
         context.state.directory.all.associateBy { it.address },
-        context.state.evacuated,
+        context.state.directory.evacuated.toSet(),
         lease.isTroubled(now),
     )
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -3,9 +3,6 @@
  */
 package rhubarbspool.entry
 
-import rhubarbspool.model.FailureDomainName
-import rhubarbspool.model.ServiceName
-import rhubarbspool.traffic.BackendEntry
 import rhubarbspool.traffic.RouteIndex
 import rhubarbspool.traffic.ServerDirectory
 import rhubarbspool.traffic.TrafficConfiguration
@@ -20,9 +17,6 @@
     /** Instances and owners of keys. */
     val shared = SharedRows(log)
 
-    /** Domains that are to get no new work. */
-    val evacuated = HashSet<FailureDomainName>()
-
     /** The configuration in force; null before one is known. */
     var configuration: TrafficConfiguration? = null
         private set
@@ -41,9 +35,6 @@
     /** Versions of the newest rows of all feeds. */
     fun news() = NewsMessage(rows(Feed.OPERATOR).newest, rows(Feed.SERVERS).newest, rows(Feed.SHARED).newest)
 
-    /** Servers of [service] that take new work. */
-    fun usable(service: ServiceName): List<BackendEntry> = directory.usable(service, evacuated)
-
     /** Takes in [page] of [feed] at [now]; true when it brought news. */
     fun merge(feed: Feed, page: FeedPage, now: Long): Boolean {
         val news = rows(feed).merge(page, now)
@@ -54,7 +45,7 @@
 
     private fun merge(item: FeedItem, now: Long) = when (item) {
         is FeedItem.Configuration -> adopt(item.configuration)
-        is FeedItem.Evacuation -> evacuate(item)
+        is FeedItem.Evacuation -> evacuate(item, now)
         is FeedItem.Server -> server(item, now)
         is FeedItem.Shared -> shared.merge(item)
     }
@@ -73,8 +64,8 @@
         )
     }
 
-    private fun evacuate(item: FeedItem.Evacuation) {
-        val changed = if (item.active) evacuated.add(item.domain) else evacuated.remove(item.domain)
+    private fun evacuate(item: FeedItem.Evacuation, now: Long) {
+        val changed = directory.evacuate(item.domain, item.active, now)
         if (changed) log.belief("evacuation", "domain" to item.domain, "active" to item.active)
     }
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolSearch.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolSearch.kt
@@ -44,7 +44,7 @@
     /** Begins anew. */
     fun begin() {
         val home = flow.process.settings.domain
-        val owner = if (facts.service.sharded) facts.owner() else null
+        val owner = if (facts.service.sharded) facts.owner(flow.process.clock()) else null
         hasPermit = false
         askedOwner = owner
         stages = ArrayDeque()
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
@@ -78,13 +78,8 @@
         seenChanges = changed
         pools.entries.removeAll { (_, held) -> now - held.usedAt > UNUSED_MILLISECONDS && held.pool.running == 0 }
         pools.forEach { (name, held) ->
-            if (stale || name.server.isNotEmpty() && state.directory.drainingSince(ServerName(name.server)) != null) {
-                update(
-                    name,
-                    held.pool,
-                    now
-                )
-            }
+            val leaving = name.server.isNotEmpty() && state.directory.isLeaving(ServerName(name.server))
+            if (stale || leaving) update(name, held.pool, now)
             if (held.pool.queued > 0 || held.pool.running > 0) deliver(held.pool.tick(now))
         }
     }
@@ -95,12 +90,13 @@
         deliver(pool.update(entries(name, service, now), coldRate, now))
     }
 
-    /** A server of a sharded service goes on for a moment with the keys that it still holds while it drains. */
     private fun entries(name: PoolName, service: ServiceName, now: Long): List<BackendEntry> {
-        if (name.server.isEmpty()) return state.usable(service).filter { it.domain == FailureDomainName(name.domain) }
-        val entry = state.directory[ServerName(name.server)]?.takeIf { it.service == service }
-        val draining = entry?.let { state.directory.drainingSince(it.server) }
-        return listOfNotNull(entry?.takeIf { draining == null || now - draining < DRAINING_MILLISECONDS })
+        val directory = state.directory
+        if (name.server.isEmpty()) {
+            return directory.usable(service).filter { it.domain == FailureDomainName(name.domain) }
+        }
+        val entry = directory[ServerName(name.server)]?.takeIf { it.service == service }
+        return listOfNotNull(entry?.takeIf { directory.mayStillServe(it.server, now) })
     }
 
     private fun deliver(decisions: List<PoolDecision>) = decisions.forEach { decision ->
@@ -117,9 +113,6 @@
     }
 
     private companion object {
-        /** A draining server may get work for two seconds after it said so (platform's bound); the rest is transit. */
-        const val DRAINING_MILLISECONDS = 1_500L
-
         /** A pool that nobody asked for so long is forgotten. */
         const val UNUSED_MILLISECONDS = 15_000L
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFacts.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFacts.kt
@@ -52,11 +52,13 @@
         return if (document == null || key == null) null else OwnershipDocument.rangeOf(key, document.ranges)
     }
 
-    /** The living owner of the key; null when its life has ended or nobody owns it. */
-    fun owner(): BackendEntry? {
+    /** The living owner of the key at [now]; null when its life has ended, it has left, or nobody owns the key. */
+    fun owner(now: Long): BackendEntry? {
+        val directory = flow.process.state.directory
         val document = flow.process.state.shared.ownership[service.name]?.document
         val owner = range()?.let { document?.owner(it) }
-        return owner?.let { flow.process.state.directory[it.server] }?.takeIf { it.bornWall == owner.bornWall }
+        val entry = owner?.let { directory[it.server] }?.takeIf { it.bornWall == owner.bornWall }
+        return entry?.takeIf { directory.mayStillServe(it.server, now) }
     }
 
     private fun callerTimeout(): Long =
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestRun.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestRun.kt
@@ -38,7 +38,7 @@
 
     /** Owners may have changed: a request that waits for a former owner, or for a new one, asks anew. */
     fun ownersChanged() {
-        val owner = facts.owner()
+        val owner = facts.owner(flow.process.clock())
         val asked = search.askedOwner
         val moved = owner != null && (owner.server != asked?.server || owner.bornWall != asked.bornWall)
         if (end.isOver || call != null || !moved) return
@@ -48,11 +48,14 @@
     }
 
     override fun permitted(asked: OpenAsk, server: ServerName) {
-        val entry = flow.process.state.directory[server]
-        val remaining = facts.deadlineAt - flow.process.clock()
+        val now = flow.process.clock()
+        val directory = flow.process.state.directory
+        val entry = directory[server]?.takeIf { directory.mayStillServe(server, now) }
+        val remaining = facts.deadlineAt - now
         if (entry == null || remaining < SHORTEST_SEND_MILLISECONDS) {
             search.withdraw()
             facts.refusals++
+            facts.tried += server
             unanswered(CallOutcome.CANCELLED)
         } else {
             call = ServerCall(flow, facts, Permit(flow, asked), entry, end, this).also { it.start() }
