Count a removed server as gone at once unless the table itself was out

Ruled out: late news.

Change: TableOutage says whether the table was out: an own call failed, or two instances resigned within three seconds. Pages carry it from the instance that read them; a lost connection between instances says nothing of the table.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
@@ -14,7 +14,6 @@
     private val lapsing = HashMap<ServerName, Long>()
     private val drainingSince = HashMap<ServerName, Long>()
     private val evacuatedSince = HashMap<FailureDomainName, Long>()
-    private var troubledAt = Long.MIN_VALUE / 2
 
     /** Grows with every change. */
     var changes: Long = 0
@@ -45,11 +44,6 @@
         return !draining && !evacuated
     }
 
-    /** Notes that the table failed to answer at [now]. */
-    fun troubled(now: Long) {
-        troubledAt = now
-    }
-
     /** Takes in at [now] whether [domain] is evacuated; true when that is news. */
     fun evacuate(domain: FailureDomainName, active: Boolean, now: Long): Boolean {
         val changed = if (active) {
@@ -75,9 +69,9 @@
         if (entries.put(entry.server, entry) != entry) changes++
     }
 
-    /** Takes in at [now] that the entry of [server] is gone; true when that counts at once. */
-    fun remove(server: ServerName, now: Long): Boolean {
-        val lapses = server in entries && now - troubledAt < LAPSE_MILLISECONDS
+    /** Takes in at [now] that the entry of [server] is gone; true when that counts at once, not [afterOutage]. */
+    fun remove(server: ServerName, now: Long, afterOutage: Boolean = false): Boolean {
+        val lapses = server in entries && afterOutage
         if (lapses) lapsing.putIfAbsent(server, now + LAPSE_MILLISECONDS)
         return server in entries && !lapses && drop(server)
     }
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/traffic/ServerDirectoryTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/traffic/ServerDirectoryTest.kt
@@ -26,8 +26,7 @@
     test("a removal right after an outage counts when the server has not come back after two seconds") {
         val directory = ServerDirectory()
         directory.put(entry, 0)
-        directory.troubled(10_000)
-        directory.remove(name, 10_500) shouldBe false
+        directory.remove(name, 10_500, afterOutage = true) shouldBe false
         directory.expire(12_499)
         directory[name] shouldBe entry
         directory.expire(12_500)
@@ -37,8 +36,7 @@
     test("a server that comes back stays") {
         val directory = ServerDirectory()
         directory.put(entry, 0)
-        directory.troubled(10_000)
-        directory.remove(name, 10_500)
+        directory.remove(name, 10_500, afterOutage = true)
         directory.put(entry, 11_000)
         directory.expire(20_000)
         directory[name] shouldBe entry
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -38,15 +38,15 @@
     /** Takes in [page] of [feed] at [now]; true when it brought news. */
     fun merge(feed: Feed, page: FeedPage, now: Long): Boolean {
         val news = rows(feed).merge(page, now)
-        news.mapNotNull { decoder.decode(feed, it, now) }.forEach { merge(it, now) }
+        news.mapNotNull { decoder.decode(feed, it, now) }.forEach { merge(it, page, now) }
         changes++
         return news.isNotEmpty()
     }
 
-    private fun merge(item: FeedItem, now: Long) = when (item) {
+    private fun merge(item: FeedItem, page: FeedPage, now: Long) = when (item) {
         is FeedItem.Configuration -> adopt(item.configuration)
         is FeedItem.Evacuation -> evacuate(item, now)
-        is FeedItem.Server -> server(item, now)
+        is FeedItem.Server -> server(item, page.afterOutage, now)
         is FeedItem.Shared -> shared.merge(item)
     }
 
@@ -69,9 +69,13 @@
         if (changed) log.belief("evacuation", "domain" to item.domain, "active" to item.active)
     }
 
-    private fun server(item: FeedItem.Server, now: Long) {
+    private fun server(item: FeedItem.Server, afterOutage: Boolean, now: Long) {
         val before = directory[item.server]
-        if (item.entry != null) directory.put(item.entry, now) else directory.remove(item.server, now)
+        if (item.entry != null) {
+            directory.put(item.entry, now)
+        } else {
+            directory.remove(item.server, now, afterOutage)
+        }
         val after = directory[item.server]
         if (before?.state != after?.state || before?.bornWall != after?.bornWall) {
             val state = after?.state ?: "gone"
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -5,6 +5,7 @@
  */
 package rhubarbspool.entry
 
+import rhubarbspool.placement.TableOutage
 import java.util.concurrent.TimeUnit
 
 /** Reads [feed] while it is active; [received] hears every page. Failed calls are repeated. */
@@ -12,6 +13,7 @@
     private val feed: Feed,
     private val table: PlatformTable,
     private val context: ProcessContext,
+    private val outage: TableOutage,
     private val received: (Feed, FeedPage) -> Unit,
 ) {
     private val pause = if (feed == Feed.SHARED) SHARED_PAUSE_MILLISECONDS else BATCH_MILLISECONDS
@@ -93,7 +95,7 @@
         failingSince = null
         failures = 0
         val quiet = page.rows.isEmpty()
-        received(feed, page)
+        received(feed, page.copy(afterOutage = outage.isRecent(now)))
         if (page.complete) scannedAt = now
         if (isActive) goOn(if (quiet) 0 else pause)
     }
@@ -124,7 +126,7 @@
             context.log.event("table.lost", "feed" to feed, "cause" to failure.message)
         }
         context.metrics.tableFailed(feed.name)
-        if (feed == Feed.SERVERS) context.state.directory.troubled(now)
+        if (feed == Feed.SERVERS) outage.failed(now)
         if (!isActive) return
         val wait = (FIRST_RETRY_MILLISECONDS shl minOf(failures++, MAXIMUM_DOUBLINGS))
         val jitter = (Math.random() * wait).toLong()
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
@@ -44,9 +44,19 @@
 @Serializable
 data class TableRow(val key: String, val version: Long, val value: String? = null)
 
-/** Rows of a feed up to [version]; [complete] when they are all rows and not only the changed ones. */
+/**
+ * Rows of a feed up to [version].
+ *
+ * @property complete whether they are all rows and not only the changed ones.
+ * @property afterOutage whether they were read shortly after the table had failed.
+ */
 @Serializable
-data class FeedPage(val version: Long, val rows: List<TableRow>, val complete: Boolean)
+data class FeedPage(
+    val version: Long,
+    val rows: List<TableRow>,
+    val complete: Boolean,
+    val afterOutage: Boolean = false,
+)
 
 /** Reads rows of a feed. */
 fun interface RowDecoder {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -8,6 +8,7 @@
 import rhubarbspool.model.InstanceName
 import rhubarbspool.placement.ReaderChoice
 import rhubarbspool.placement.Rendezvous
+import rhubarbspool.placement.TableOutage
 
 /** Chooses between reading and being told, and passes on what is read; [changed] hears of news. */
 internal class RowSource(
@@ -17,11 +18,12 @@
     private val changed: () -> Unit,
 ) : SubscriptionEvents {
     private val self = context.settings.instance
-    private val followers = Feed.entries.associateWith { FeedFollower(it, table, context, ::told) }
+    private val outage = TableOutage()
+    private val followers = Feed.entries.associateWith { FeedFollower(it, table, context, outage, ::told) }
     private val choice = ReaderChoice()
 
     /** Instances that learn from this one. */
-    val subscribers = RowSubscribers(context, transport) { choice.isPassedOver(self, context.clock()) }
+    val subscribers = RowSubscribers(context, transport, outage) { choice.isPassedOver(self, context.clock()) }
     private var subscription: Subscription? = null
     private val startedAt = context.clock()
     private var lookedAt = startedAt
@@ -36,7 +38,7 @@
     fun tick(now: Long) {
         if (!isIntroduced(now)) return look(now, INTRODUCED_MILLISECONDS)
         resignIfTroubled(now)
-        subscription?.takeIf { it.isSilent(now) }?.let(::failed)
+        subscription?.takeIf { it.isSilent(now) }?.let(::lost)
         val reader = choice.choose(readers(context), now) ?: self
         val reads = reader == self || !subscribers.isEmpty
         followers.values.forEach { if (reads) it.start() else it.stop() }
@@ -51,11 +53,16 @@
         subscribers.tell(feed, page)
     }
 
-    override fun failed(subscription: Subscription) {
-        val now = context.clock()
-        choice.passOver(subscription.reader, now)
-        context.state.directory.troubled(now)
-        context.log.belief("reader", "instance" to subscription.reader, "state" to "failed")
+    override fun resigned(subscription: Subscription) {
+        outage.resigned(subscription.reader, context.clock())
+        passOver(subscription, "resigned")
+    }
+
+    override fun lost(subscription: Subscription) = passOver(subscription, "lost")
+
+    private fun passOver(subscription: Subscription, state: String) {
+        choice.passOver(subscription.reader, context.clock())
+        context.log.belief("reader", "instance" to subscription.reader, "state" to state)
         subscription.end()
         if (this.subscription === subscription) this.subscription = null
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
@@ -4,11 +4,13 @@
 package rhubarbspool.entry
 
 import io.netty.channel.Channel
+import rhubarbspool.placement.TableOutage
 
 /** Passes rows on; [resigned] says whether this instance can't read the table. */
 internal class RowSubscribers(
     private val context: ProcessContext,
     private val transport: PeerTransport,
+    private val outage: TableOutage,
     private val resigned: () -> Boolean,
 ) {
     private val channels = HashSet<Channel>()
@@ -23,7 +25,11 @@
             val known = message.known.of(feed)
             val page = context.state.rows(feed).snapshot()
             if (page != null && page.version > known) {
-                val changes = page.copy(rows = page.rows.filter { it.version > known }, complete = known == 0L)
+                val changes = page.copy(
+                    rows = page.rows.filter { it.version > known },
+                    complete = known == 0L,
+                    afterOutage = outage.isRecent(context.clock()),
+                )
                 transport.send(channel, PeerMessage(rows = RowsMessage(feed, changes)))
             }
         }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
@@ -11,8 +11,11 @@
     /** [page] of [feed] was told. */
     fun told(feed: Feed, page: FeedPage)
 
-    /** The reader of [subscription] can't read, or can't be reached. */
-    fun failed(subscription: Subscription)
+    /** The reader of [subscription] can't read. */
+    fun resigned(subscription: Subscription)
+
+    /** The reader of [subscription] can't be reached. */
+    fun lost(subscription: Subscription)
 }
 
 /** News that [reader] passes on, from when it was asked. */
@@ -57,13 +60,13 @@
         val rows = message.rows
         when {
             rows == null || ended -> Unit
-            rows.resigns -> events.failed(this)
+            rows.resigns -> events.resigned(this)
             rows.feed != null && rows.page != null -> events.told(rows.feed, rows.page)
         }
     }
 
     override fun closed() {
-        if (!ended) events.failed(this)
+        if (!ended) events.lost(this)
     }
 
     private companion object {
