--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -38,7 +38,7 @@
     fun tick(now: Long) {
         if (!isIntroduced(now)) return look(now, INTRODUCED_MILLISECONDS)
         resignIfTroubled(now)
-        subscription?.takeIf { it.isSilent(now) }?.let(::lost)
+        subscription?.takeIf { it.isSilent(now) }?.let { lost(it, resigned = false) }
         val reader = choice.choose(readers(context), now) ?: self
         val reads = reader == self || !subscribers.isEmpty
         followers.values.forEach { if (reads) it.start() else it.stop() }
@@ -53,15 +53,11 @@
         subscribers.tell(feed, page)
     }
 
-    override fun resigned(subscription: Subscription) {
-        outage.resigned(subscription.reader, context.clock())
-        passOver(subscription, "resigned")
-    }
-
-    override fun lost(subscription: Subscription) = passOver(subscription, "lost")
-
-    private fun passOver(subscription: Subscription, state: String) {
-        choice.passOver(subscription.reader, context.clock())
+    override fun lost(subscription: Subscription, resigned: Boolean) {
+        val now = context.clock()
+        choice.passOver(subscription.reader, now)
+        if (resigned) outage.resigned(subscription.reader, now)
+        val state = if (resigned) "resigned" else "lost"
         context.log.belief("reader", "instance" to subscription.reader, "state" to state)
         subscription.end()
         if (this.subscription === subscription) this.subscription = null
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
@@ -11,11 +11,8 @@
     /** [page] of [feed] was told. */
     fun told(feed: Feed, page: FeedPage)
 
-    /** The reader of [subscription] can't read. */
-    fun resigned(subscription: Subscription)
-
-    /** The reader of [subscription] can't be reached. */
-    fun lost(subscription: Subscription)
+    /** The reader of [subscription] can't be reached, or says that it can't read any more when it [resigned]. */
+    fun lost(subscription: Subscription, resigned: Boolean)
 }
 
 /** News that [reader] passes on, from when it was asked. */
@@ -60,13 +57,13 @@
         val rows = message.rows
         when {
             rows == null || ended -> Unit
-            rows.resigns -> events.resigned(this)
+            rows.resigns -> events.lost(this, resigned = true)
             rows.feed != null && rows.page != null -> events.told(rows.feed, rows.page)
         }
     }
 
     override fun closed() {
-        if (!ended) events.lost(this)
+        if (!ended) events.lost(this, resigned = false)
     }
 
     private companion object {
