Keep owners through outages of the store, and take ranges back after a takeover

Ruled out: longer holds (they lengthen every crash), a longer lease (it lengthens every takeover).

Change: a failed document write is repeated while renewals go on; a process whose lease ended and that nobody else held goes on with what it knows; time in which the row can't be read does not count for a takeover; a process takes over from its instance's former life at once; an owner without an entry gets the fencing grant while that can't prolong its hold. A renewal of the lease that fails at once counts as trouble, and all ranges then get the longest hold within a second.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CallPlanner.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CallPlanner.kt
@@ -50,14 +50,14 @@
     }
 
     /**
-     * Asks for the range back, after a grant that makes unanswered ones void. Nothing is granted to an owner that is
-     * not listed any more: another life may be about to start in its place.
+     * Asks for the range back, after a grant that makes unanswered ones void. An owner that is not listed may be about
+     * to end, without an answer: it gets that grant only while this can't prolong the time that it may hold the range.
      */
     private fun takeBack(range: Int, owner: Owner, fence: Long, listed: Boolean, now: Long): OwnershipEffect? {
         val hold = holds[range]
         val doubtful = hold.isDoubtful(now)
         return when {
-            doubtful && !listed -> null
+            doubtful && !listed && hold.mayHoldUntil < now + HoldTimes.LONGEST_FENCING -> null
             doubtful -> called(hold, now, OwnershipEffect.Grant(range, owner, fence + 1, HoldTimes.FENCING, null))
             else -> called(hold, now, OwnershipEffect.Release(range, owner, fence + if (hold.fenced) 1 else 0))
         }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
@@ -10,21 +10,28 @@
 /** The next step of an instance that coordinates or might. */
 enum class LeaseStep { NOTHING, READ, WRITE }
 
-/** The lease as the instance [self] sees it. Not thread-safe. */
+/**
+ * The lease as one process sees it. Not thread-safe.
+ *
+ * @param self the name of the instance and, after a slash, of this life of its process.
+ */
 class CoordinatorLease(private val self: String) {
-    private var version = UNKNOWN
-    private var holder: String? = null
-    private var seenAt = 0L
+    private val row = LeaseRow(self)
     private var readAt = LONG_AGO
     private var heldFrom: Now? = null
     private var pending: Now? = null
     private var triedAt = LONG_AGO
+    private var isFailing = false
+
+    /** Whether another process may have coordinated since this one last did. */
+    var isInterrupted: Boolean = true
+        private set
 
     /** Version that a write must be conditional on. */
-    val condition: Long get() = maxOf(version, 0)
+    val condition: Long get() = maxOf(row.version, 0)
 
     /** The holder that was last seen, if any. */
-    val knownHolder: String? get() = holder
+    val knownHolder: String? get() = row.holder
 
     /** Whether this instance may coordinate at [now]. */
     fun isHeld(now: Now): Boolean {
@@ -34,8 +41,9 @@
         return monotonic < HOLD_MILLISECONDS && wall < HOLD_MILLISECONDS
     }
 
-    /** Whether renewals have gone unanswered for so long at [now] that the table counts as troubled. */
-    fun isTroubled(now: Now): Boolean = heldFrom?.let { now.monotonic - it.monotonic > TROUBLED_MILLISECONDS } ?: false
+    /** Whether a renewal failed, or has gone unanswered for so long at [now] that the table counts as troubled. */
+    fun isTroubled(now: Now): Boolean =
+        heldFrom?.let { isFailing || now.monotonic - it.monotonic > TROUBLED_MILLISECONDS } ?: false
 
     /** What to do at [now] for an instance that is [rank]th in line. */
     fun next(rank: Int, now: Now): LeaseStep {
@@ -44,8 +52,7 @@
         return when {
             from != null && now.monotonic - from.monotonic < RENEWAL_MILLISECONDS -> LeaseStep.NOTHING
             now.monotonic - triedAt < RETRY_MILLISECONDS -> LeaseStep.NOTHING
-            from != null && version != UNKNOWN -> LeaseStep.WRITE
-            version != UNKNOWN && isFree(rank, now) -> LeaseStep.WRITE
+            row.isKnown && (from != null || row.isFree(rank, now.monotonic)) -> LeaseStep.WRITE
             now.monotonic - readAt >= readInterval(rank) -> LeaseStep.READ
             else -> LeaseStep.NOTHING
         }
@@ -62,47 +69,37 @@
 
     /** Takes in at [now] that the row names [holder] in [version]; version 0 when there is none. */
     fun observed(holder: String?, version: Long, now: Now) {
-        if (version < this.version) return
-        if (version != this.version) seenAt = now.monotonic
-        this.version = version
-        this.holder = holder
-        if (holder != self) heldFrom = null
+        if (row.observed(holder, version, now.monotonic) && holder != self) drop()
     }
 
+    /** Takes in that the row could not be read at [now]. */
+    fun unread(now: Now) = row.unread(now.monotonic)
+
     /** Takes in that the write succeeded as [version] at [now]. */
     fun written(version: Long, now: Now) {
         heldFrom = pending
         pending = null
-        this.version = version
-        holder = self
-        seenAt = now.monotonic
+        isFailing = false
+        isInterrupted = false
+        row.observed(self, version, now.monotonic)
     }
 
     /** Takes in that the write's outcome is not known, or that it failed; the row is read again. */
     fun unwritten() {
         pending = null
+        isFailing = true
         readAt = LONG_AGO
     }
 
     /** Gives up what this instance holds. */
     fun drop() {
         heldFrom = null
-    }
-
-    private fun isFree(rank: Int, now: Now): Boolean {
-        val unchanged = now.monotonic - seenAt
-        val turn = rank * TURN_MILLISECONDS
-        return when {
-            version == 0L -> unchanged >= turn
-            holder == self -> true
-            else -> unchanged >= TAKEOVER_MILLISECONDS + turn
-        }
+        isInterrupted = true
     }
 
     private fun readInterval(rank: Int): Long = READ_MILLISECONDS.getOrElse(rank) { LAST_READ_MILLISECONDS }
 
     companion object {
-        private const val UNKNOWN = -1L
         private const val LONG_AGO = Long.MIN_VALUE / 2
 
         /** How long one write lets its holder coordinate, from when it was sent. */
@@ -113,7 +110,6 @@
         private const val RENEWAL_MILLISECONDS = 1_000L
         private const val TROUBLED_MILLISECONDS = 1_500L
         private const val RETRY_MILLISECONDS = 250L
-        private const val TURN_MILLISECONDS = 350L
 
         /** Reads of those first in line; the others only make sure that somebody does. */
         private val READ_MILLISECONDS = listOf(1_000L, 5_000L)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/HoldTimes.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/HoldTimes.kt
@@ -15,11 +15,14 @@
     const val RENEWAL: Long = 2_300
 
     /** While the table does not answer, every grant is soon renewed for the longest time. */
-    const val TROUBLED_RENEWAL: Long = 600
+    const val TROUBLED_RENEWAL: Long = 1_000
 
     /** A hold that only has to last until the release that follows. */
     const val FENCING: Long = 1_500
 
+    /** An order without an answer is given up after this time. */
+    const val ORDER: Long = 1_500
+
     /** A call that failed is repeated after this time. */
     const val RETRY: Long = 300
 
@@ -36,6 +39,9 @@
     /** The longest time for which a server may hold a range by a grant that was sent just now. */
     const val LONGEST_HOLD: Long = LONGEST_GRANT + LONGEST_GRANT * DRIFT_PERCENT / PERCENT + TRANSIT
 
+    /** How long a server may hold a range by a fencing grant that is sent just now, and given up in the end. */
+    val LONGEST_FENCING: Long = ORDER + stretched(FENCING)
+
     /** How long a server may hold a range by a grant for [hold] that was answered, or given up, just now. */
     fun stretched(hold: Long): Long = hold + hold * DRIFT_PERCENT / PERCENT + TRANSIT
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
@@ -49,14 +49,12 @@
         if (isCurrent(release.range, release.owner, release.fence)) holds.released(release, result, handover)
     }
 
-    /** Takes in at [now] whether the last document was written. */
-    fun onWritten(written: Boolean, now: Long) {
+    /** Takes in at [now] that the last document was written. */
+    fun onWritten(now: Long) {
         val changes = writing.orEmpty()
         writing = null
-        if (written) {
-            document = document.with(changes)
-            changes.keys.forEach { holds[it].reassigned(now) }
-        }
+        document = document.with(changes)
+        changes.keys.forEach { holds[it].reassigned(now) }
     }
 
     private fun isCurrent(range: Int, owner: Owner, fence: Long): Boolean =
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/CoordinatorLeaseTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/CoordinatorLeaseTest.kt
@@ -51,6 +51,46 @@
         lease.next(0, now(CoordinatorLease.TAKEOVER_MILLISECONDS + 100)) shouldNotBe LeaseStep.WRITE
     }
 
+    test("an instance that starts again takes over from its former life at once, whatever its rank") {
+        val lease = CoordinatorLease("a/2000")
+        lease.next(LAST_RANK, now(0)) shouldBe LeaseStep.READ
+        lease.began(LeaseStep.READ, now(0))
+        lease.observed("a/1000", 7, now(5))
+        lease.next(LAST_RANK, now(5)) shouldBe LeaseStep.WRITE
+    }
+
+    test("an instance whose name begins like the holder's waits like any other") {
+        val lease = CoordinatorLease("a-1/2000")
+        lease.began(LeaseStep.READ, now(0))
+        lease.observed("a/1000", 7, now(5))
+        lease.next(0, now(5)) shouldBe LeaseStep.NOTHING
+    }
+
+    test("an outage of the table does not count as the holder's end") {
+        val lease = CoordinatorLease("b")
+        lease.began(LeaseStep.READ, now(0))
+        lease.observed("a", 7, now(0))
+        val returned = 3 * CoordinatorLease.TAKEOVER_MILLISECONDS
+        lease.unread(now(returned))
+        lease.next(0, now(returned + CoordinatorLease.TAKEOVER_MILLISECONDS - 1)) shouldNotBe LeaseStep.WRITE
+        lease.next(0, now(returned + CoordinatorLease.TAKEOVER_MILLISECONDS)) shouldBe LeaseStep.WRITE
+    }
+
+    test("a holder whose renewals fail goes on where it stopped unless another one has held the lease") {
+        val lease = CoordinatorLease("a")
+        held(lease, 0)
+        lease.began(LeaseStep.WRITE, now(1_000))
+        lease.unwritten()
+        lease.isTroubled(now(1_001)) shouldBe true
+        lease.isHeld(now(8_000)) shouldBe false
+        lease.isInterrupted shouldBe false
+        lease.began(LeaseStep.WRITE, now(8_000))
+        lease.written(2, now(8_005))
+        lease.isHeld(now(8_005)) shouldBe true
+        lease.observed("b", 9, now(20_000))
+        lease.isInterrupted shouldBe true
+    }
+
     test("a holder that sees another one stops at once") {
         val lease = CoordinatorLease("a")
         held(lease, 0)
@@ -69,3 +109,4 @@
 })
 
 private const val WALL = 1_000_000_000L
+private const val LAST_RANK = 20
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipFuzzTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipFuzzTest.kt
@@ -16,7 +16,13 @@
         "grants that are carried out late" to OwnershipFaults(late = 0.1, drain = 0.002, evacuate = 0.002),
         "servers that can't be reached" to OwnershipFaults(cut = 0.002, drain = 0.001),
         "coordinators that are replaced" to OwnershipFaults(takeover = 0.005, drain = 0.002, unanswered = 0.05),
-        "all" to OwnershipFaults(0.001, 0.05, 0.05, 0.001, 0.001, 0.002, 0.001),
+        "lives that start again under their names" to
+            OwnershipFaults(reborn = 0.002, unanswered = 0.05, drain = 0.001),
+        "coordinators that pause and go on" to
+            OwnershipFaults(pause = 0.002, crash = 0.001, drain = 0.002, late = 0.05),
+        "servers that leave unannounced beside takeovers" to
+            OwnershipFaults(vanish = 0.002, takeover = 0.003, reborn = 0.001, late = 0.05, unanswered = 0.05),
+        "all" to OwnershipFaults(0.001, 0.05, 0.05, 0.001, 0.001, 0.002, 0.001, 0.001, 0.001, 0.001),
     )
 
     cases.forEach { (name, faults) ->
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipWorld.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipWorld.kt
@@ -23,6 +23,9 @@
     val evacuate: Double = 0.0,
     val takeover: Double = 0.0,
     val cut: Double = 0.0,
+    val reborn: Double = 0.0,
+    val pause: Double = 0.0,
+    val vanish: Double = 0.0,
 )
 
 internal class OwnershipWorld(private val seed: Int, private val faults: OwnershipFaults) {
@@ -45,6 +48,7 @@
     private var coordinator = OwnershipCoordinator(document, 0, isNew = true)
     private var generation = 0
     private var evacuatedUntil = 0L
+    private var pausedUntil = 0L
     private var now = 0L
     private var nextLife = 0
 
@@ -60,15 +64,14 @@
         while (now < length && violations.isEmpty()) {
             while (agenda.isNotEmpty() && agenda.peek().at <= now) agenda.poll().action()
             disturb()
-            coordinator.tick(view(), CALLS, Now(now, WALL + now)).forEach(::carryOut)
+            if (now >= pausedUntil) coordinator.tick(view(), CALLS, Now(now, WALL + now)).forEach(::carryOut)
             judge()
             now += STEP
         }
         return this
     }
 
-    private fun start(address: Address) {
-        val name = ServerName("s${nextLife++}")
+    private fun start(address: Address, name: ServerName = ServerName("s${nextLife++}")) {
         val domain = FailureDomainName("d${address.port % DOMAINS}")
         val entry = BackendEntry(name, WALL + now, ServiceName("x"), address, domain, 2, ServerState.READY, 0)
         lives += Life(entry).also { it.listed = false }
@@ -79,19 +82,31 @@
     private fun disturb() {
         lives.filter { it.up }.forEach { life ->
             if (random.nextDouble() < faults.crash) crash(life)
+            if (random.nextDouble() < faults.reborn) crash(life, life.entry.server)
+            if (random.nextDouble() < faults.vanish && !life.draining) vanish(life)
             if (random.nextDouble() < faults.drain && !life.draining) drain(life)
             if (random.nextDouble() < faults.cut) life.cutUntil = now + random.nextLong(LONG_CUT)
         }
         lives.filter { it.listed && now >= it.goneAt }.forEach { it.listed = false }
         if (random.nextDouble() < faults.evacuate) evacuatedUntil = now + random.nextLong(LONG_CUT)
         if (random.nextDouble() < faults.takeover) takeOver()
+        if (random.nextDouble() < faults.pause) pausedUntil = now + random.nextLong(LONG_CUT)
     }
 
-    private fun crash(life: Life) {
+    private fun crash(life: Life, next: ServerName? = null) {
+        if (!life.up) return
         life.up = false
         life.held.clear()
         life.goneAt = now + LAPSE
-        after(random.nextLong(LONGEST_DOWN)) { start(life.entry.address) }
+        after(random.nextLong(LONGEST_DOWN)) {
+            if (next == null) start(life.entry.address) else start(life.entry.address, next)
+        }
+    }
+
+    /** Leaves in a planned way without saying so: its entry goes first. */
+    private fun vanish(life: Life) {
+        life.listed = false
+        drain(life)
     }
 
     private fun drain(life: Life) {
@@ -127,7 +142,7 @@
             is OwnershipEffect.Write -> after(WRITE) {
                 if (mine == generation) {
                     document = effect.document
-                    current.onWritten(true, now)
+                    current.onWritten(now)
                 }
             }
             is OwnershipEffect.Grant -> grant(effect, mine, current)
--- /dev/null
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/TakeBackTest.kt
@@ -0,0 +1,83 @@
+/*
+ * How long the ranges of a server that leaves stay with it, after a takeover and in calm times, whether its entry says
+ * that it drains or has gone already.
+ */
+package rhubarbspool.ownership
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import rhubarbspool.model.Address
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.Now
+import rhubarbspool.model.ServerName
+import rhubarbspool.model.ServiceName
+import rhubarbspool.traffic.BackendEntry
+import rhubarbspool.traffic.ServerState
+
+class TakeBackTest : FunSpec({
+    val entries = (1..3).map { number ->
+        val address = Address("10.0.0.1", number)
+        val domain = FailureDomainName("d")
+        BackendEntry(ServerName("s$number"), 1, ServiceName("x"), address, domain, 2, ServerState.READY, 0)
+    }
+    val leaving = entries.first()
+    val owners = entries.map(OwnershipPlan::ownerOf)
+
+    /** Milliseconds until nothing belongs to the leaving server, where all calls are answered [result]. */
+    fun timeToMove(isTakeover: Boolean, listed: List<BackendEntry>, result: OrderResult): Long {
+        val ranges = 64
+        val document = OwnershipDocument.empty(ranges).with((0 until ranges).associateWith { owners[it % 3] })
+        val start = 100_000L
+        val coordinator = OwnershipCoordinator(document, start, isNew = !isTakeover)
+        var now = start
+        while (coordinator.document.ownerOf.indices.any { coordinator.document.owner(it) == owners[0] }) {
+            val view = OwnershipView(listed, listed.associateBy { it.address }, emptySet(), storeTroubled = false)
+            coordinator.tick(view, CALLS, Now(now, now)).forEach { effect ->
+                when (effect) {
+                    is OwnershipEffect.Write -> coordinator.onWritten(now)
+                    is OwnershipEffect.Grant -> coordinator.onGrant(effect, result, now, now)
+                    is OwnershipEffect.Release -> coordinator.onRelease(effect, result, null)
+                }
+            }
+            now += STEP
+            if (now - start > LONGEST) return LONGEST
+        }
+        return now - start
+    }
+
+    data class MoveCase(
+        val what: String,
+        val takeover: Boolean,
+        val entry: BackendEntry?,
+        val result: OrderResult,
+        val most: Long,
+    )
+
+    val draining = leaving.copy(state = ServerState.DRAINING)
+    listOf(
+        MoveCase("drains", false, draining, OrderResult.ACCEPTED, 1_000),
+        MoveCase("drains after a takeover", true, draining, OrderResult.ACCEPTED, 1_500),
+        MoveCase("left its entry", false, null, OrderResult.ACCEPTED, 1_000),
+        MoveCase("left its entry around a takeover", true, null, OrderResult.ACCEPTED, 1_500),
+        MoveCase(
+            "left its entry and does not answer",
+            true,
+            null,
+            OrderResult.UNANSWERED,
+            LONGEST_MOVE
+        ),
+        MoveCase("can't be reached", true, null, OrderResult.NOT_SENT, LONGEST_MOVE),
+    ).forEach { case ->
+        test("ranges of a server that ${case.what} move within ${case.most} ms") {
+            val listed = listOfNotNull(case.entry) + entries.drop(1)
+            timeToMove(case.takeover, listed, case.result) shouldBeLessThan case.most
+        }
+    }
+})
+
+private const val STEP = 20L
+private const val CALLS = 14
+private const val LONGEST = 30_000L
+
+/** A hold that nobody ends runs out. */
+private const val LONGEST_MOVE = HoldTimes.LONGEST_HOLD + 500
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
@@ -22,11 +22,11 @@
         val now = context.now()
         val state = context.state
         if (state.rows(Feed.SHARED).version == null || state.rows(Feed.SERVERS).version == null) return
+        if (lease.isInterrupted) running.clear()
         lease.tick(now)
         val holds = lease.isHeld(now)
         if (holds != held) {
             held = holds
-            running.clear()
             val (holder, version) = lease.seen
             context.log.belief("coordinator", "held" to holds, "holder" to holder, "version" to version)
         }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseKeeper.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseKeeper.kt
@@ -19,6 +19,9 @@
     /** Whether this instance holds the lease at [now]. */
     fun isHeld(now: Now): Boolean = lease.isHeld(now)
 
+    /** Whether another process may have coordinated since this one last did. */
+    val isInterrupted: Boolean get() = lease.isInterrupted
+
     /** Whether the table does not confirm the lease at [now]. */
     fun isTroubled(now: Now): Boolean = lease.isTroubled(now)
 
@@ -51,7 +54,11 @@
 
     private fun read() {
         table.readUnfollowed(KEY).whenComplete { row, failure ->
-            if (failure == null) lease.observed(row?.value, row?.version ?: 0, context.now())
+            if (failure == null) {
+                lease.observed(row?.value, row?.version ?: 0, context.now())
+            } else {
+                lease.unread(context.now())
+            }
         }
     }
 
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipCalls.kt
@@ -0,0 +1,50 @@
+/*
+ * Sends grants and releases to servers and reports how they ended.
+ */
+package rhubarbspool.entry
+
+import rhubarbspool.ownership.OrderResult
+import rhubarbspool.ownership.Owner
+import rhubarbspool.ownership.OwnershipCoordinator
+import rhubarbspool.ownership.OwnershipEffect
+import rhubarbspool.traffic.TrafficService
+
+/** Calls to the servers of [service]. */
+internal class OwnershipCalls(
+    private val service: TrafficService,
+    private val context: ProcessContext,
+    private val orders: OwnershipOrders,
+) {
+    /** Sends [grant] for [coordinator]. */
+    fun grant(coordinator: OwnershipCoordinator, grant: OwnershipEffect.Grant) {
+        val sentAt = context.clock()
+        orders.grant(grant, coordinator.document.ranges, service.healthPath).whenComplete { answer, failure ->
+            val result = answer?.result ?: OrderResult.UNANSWERED
+            if (result != OrderResult.ACCEPTED) logged("grant", grant.owner, grant.range, result, failure)
+            coordinator.onGrant(grant, result, sentAt, context.clock())
+        }
+    }
+
+    /** Sends [release] for [coordinator]. */
+    fun release(coordinator: OwnershipCoordinator, release: OwnershipEffect.Release) {
+        orders.release(release, coordinator.document.ranges).whenComplete { answer, failure ->
+            val result = answer?.result ?: OrderResult.UNANSWERED
+            logged("release", release.owner, release.range, result, failure)
+            coordinator.onRelease(release, result, answer?.handover)
+        }
+    }
+
+    private fun logged(
+        order: String,
+        owner: Owner,
+        range: Int,
+        result: OrderResult,
+        failure: Throwable?,
+    ) = context.log.event(
+        order,
+        "server" to owner.server,
+        "range" to range,
+        "result" to result,
+        "cause" to failure?.message,
+    )
+}
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
@@ -1,12 +1,10 @@
 /*
- * Carries out what the ownership decisions of one service ask for: sends grants and releases, and writes the document.
+ * Carries out what the ownership decisions of one service ask for, and keeps the document of owners in the table.
  */
 package rhubarbspool.entry
 
 import rhubarbspool.model.Now
 import rhubarbspool.model.ServerName
-import rhubarbspool.ownership.OrderResult
-import rhubarbspool.ownership.Owner
 import rhubarbspool.ownership.OwnershipCoordinator
 import rhubarbspool.ownership.OwnershipDocument
 import rhubarbspool.ownership.OwnershipEffect
@@ -18,12 +16,14 @@
     private val service: TrafficService,
     private val context: ProcessContext,
     private val table: PlatformTable,
-    private val orders: OwnershipOrders,
+    orders: OwnershipOrders,
 ) {
+    private val calls = OwnershipCalls(service, context, orders)
     private val key = SharedRows.ownersOf(service.name)
     private var coordinator: OwnershipCoordinator? = null
     private var version = 0L
     private var fencing = false
+    private var unwritten: OwnershipDocument? = null
     private var retryAt = 0L
 
     /** Decides and acts at [now]. */
@@ -32,7 +32,9 @@
         if (current == null) {
             fence(now.monotonic)
         } else {
-            current.tick(view, CALLS_PER_TICK, now).forEach { carryOut(current, it) }
+            unwritten?.takeIf { now.monotonic >= retryAt }?.let { write(current, it) }
+            val most = if (view.storeTroubled) TROUBLED_CALLS_PER_TICK else CALLS_PER_TICK
+            current.tick(view, most, now).forEach { carryOut(current, it) }
         }
     }
 
@@ -55,7 +57,7 @@
         val known = context.state.shared.ownership[service.name]
         val document = (known?.document ?: OwnershipDocument.empty()).takenOverBy(context.settings.instance.text)
         fencing = true
-        retryAt = now + FENCE_RETRY_MILLISECONDS
+        retryAt = now + RETRY_MILLISECONDS
         table.write(key, followed = true, known?.version ?: 0, document.encode()).whenComplete { result, failure ->
             fencing = false
             when (result) {
@@ -83,58 +85,47 @@
     }
 
     private fun carryOut(current: OwnershipCoordinator, effect: OwnershipEffect) = when (effect) {
-        is OwnershipEffect.Grant -> grant(current, effect)
-        is OwnershipEffect.Release -> release(current, effect)
+        is OwnershipEffect.Grant -> calls.grant(current, effect)
+        is OwnershipEffect.Release -> calls.release(current, effect)
         is OwnershipEffect.Write -> write(current, effect.document)
     }
 
-    private fun grant(current: OwnershipCoordinator, grant: OwnershipEffect.Grant) {
-        val sentAt = context.clock()
-        orders.grant(grant, current.document.ranges, service.healthPath).whenComplete { answer, failure ->
-            val result = answer?.result ?: OrderResult.UNANSWERED
-            if (result != OrderResult.ACCEPTED) logged("grant", grant.owner, grant.range, result, failure)
-            current.onGrant(grant, result, sentAt, context.clock())
+    /** A write without an answer may still be carried out: the same one is made until it, or this one, is confirmed. */
+    private fun write(current: OwnershipCoordinator, document: OwnershipDocument) {
+        val text = document.encode()
+        unwritten = null
+        table.write(key, followed = true, version, text).whenComplete { result, failure ->
+            val found = (result as? WriteResult.Conflict)?.current
+            when {
+                result is WriteResult.Written -> written(current, document, result.version)
+                found != null && found.value == text -> written(current, document, found.version)
+                result != null -> superseded()
+                else -> {
+                    context.log.event("owners.unwritten", "service" to service.name, "cause" to failure?.message)
+                    unwritten = document
+                    retryAt = context.clock() + RETRY_MILLISECONDS
+                }
+            }
         }
     }
 
-    private fun release(current: OwnershipCoordinator, release: OwnershipEffect.Release) {
-        orders.release(release, current.document.ranges).whenComplete { answer, failure ->
-            val result = answer?.result ?: OrderResult.UNANSWERED
-            logged("release", release.owner, release.range, result, failure)
-            current.onRelease(release, result, answer?.handover)
-        }
+    private fun written(current: OwnershipCoordinator, document: OwnershipDocument, version: Long) {
+        current.onWritten(context.clock())
+        learn(document, version)
     }
 
-    private fun write(current: OwnershipCoordinator, document: OwnershipDocument) {
-        table.write(key, followed = true, version, document.encode()).whenComplete { result, failure ->
-            val written = result as? WriteResult.Written
-            current.onWritten(written != null, context.clock())
-            if (written != null) {
-                learn(document, written.version)
-            } else {
-                context.log.event("owners.unwritten", "service" to service.name, "cause" to failure?.message)
-                coordinator = null
-            }
-        }
+    /** Another process has written: what is known here of the holders is out of date. */
+    private fun superseded() {
+        context.log.event("owners.superseded", "service" to service.name, "version" to version)
+        coordinator = null
     }
 
-    private fun logged(
-        order: String,
-        owner: Owner,
-        range: Int,
-        result: OrderResult,
-        failure: Throwable?,
-    ) = context.log.event(
-        order,
-        "server" to owner.server,
-        "range" to range,
-        "result" to result,
-        "cause" to failure?.message,
-    )
-
     private companion object {
         /** Calls to servers in one tick of 20 ms; a thousand ranges are renewed in about two seconds. */
         const val CALLS_PER_TICK = 14
-        const val FENCE_RETRY_MILLISECONDS = 200L
+
+        /** While the table fails, all ranges are renewed for long within about a second, before the lease ends. */
+        const val TROUBLED_CALLS_PER_TICK = 24
+        const val RETRY_MILLISECONDS = 200L
     }
 }
