Refuse at once what only a cut-off domain could serve

Change: InstanceReach takes a domain to be cut off when two of its instances fell silent within 1.5 s and none has been heard from since; such pools are not asked, and the caller is told when to come back. A closed connection is no silence.

Test: InstanceReachTest.

--- /dev/null
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/placement/InstanceReach.kt
@@ -0,0 +1,48 @@
+/*
+ * Which other instances can be reached. Those that were lost are passed over for a moment. Where several instances of a
+ * failure domain fall silent together and none is heard from, the domain is cut off from here: asking the next of its
+ * instances would only use up the time that a caller has.
+ */
+package rhubarbspool.placement
+
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.InstanceName
+
+/** Remembers losses. All times are monotonic milliseconds. */
+class InstanceReach {
+    private val lostAt = HashMap<InstanceName, Long>()
+    private val silentAt = HashMap<FailureDomainName, HashMap<InstanceName, Long>>()
+    private val heardAt = HashMap<FailureDomainName, Long>()
+
+    /** [instance] of [domain] was lost at [now], by its silence when it is [silent]; true when that is news. */
+    fun lost(instance: InstanceName, domain: FailureDomainName, silent: Boolean, now: Long): Boolean {
+        if (silent) silentAt.getOrPut(domain) { HashMap() }[instance] = now
+        val isNews = !isPassedOver(instance, now)
+        lostAt[instance] = now
+        return isNews
+    }
+
+    /** Some instance of [domain] was heard from at [now]. */
+    fun heard(domain: FailureDomainName, now: Long) {
+        heardAt[domain] = now
+    }
+
+    /** Whether [instance] was lost shortly before [now]. */
+    fun isPassedOver(instance: InstanceName, now: Long): Boolean =
+        lostAt[instance]?.let { now - it < PASSED_OVER_MILLISECONDS } ?: false
+
+    /** Whether [domain] is cut off at [now]. */
+    fun isCutOff(domain: FailureDomainName, now: Long): Boolean {
+        val silent = silentAt[domain]?.values?.filter { now - it < PASSED_OVER_MILLISECONDS }.orEmpty()
+        val heard = heardAt[domain]
+        return silent.size >= SILENT_TOGETHER && (heard == null || heard < silent.min())
+    }
+
+    private companion object {
+        /** How long an instance that could not be reached is passed over. */
+        const val PASSED_OVER_MILLISECONDS = 1_500L
+
+        /** One silent instance may be suspended; two at the same time, with no other heard from, seldom are. */
+        const val SILENT_TOGETHER = 2
+    }
+}
--- /dev/null
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/placement/InstanceReachTest.kt
@@ -0,0 +1,45 @@
+/*
+ * Lost instances are passed over; a domain whose instances fall silent together is cut off until one is heard from.
+ */
+package rhubarbspool.placement
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.InstanceName
+
+class InstanceReachTest : FunSpec({
+    val domain = FailureDomainName("d")
+
+    test("a lost instance is passed over for a moment") {
+        val reach = InstanceReach()
+        reach.lost(InstanceName("a"), domain, silent = false, 1_000) shouldBe true
+        reach.lost(InstanceName("a"), domain, silent = false, 1_100) shouldBe false
+        reach.isPassedOver(InstanceName("a"), 2_599) shouldBe true
+        reach.isPassedOver(InstanceName("a"), 2_600) shouldBe false
+        reach.isPassedOver(InstanceName("b"), 1_100) shouldBe false
+    }
+
+    data class Loss(val instance: String, val silent: Boolean, val at: Long)
+
+    data class CutCase(val what: String, val losses: List<Loss>, val heardAt: Long?, val at: Long, val cutOff: Boolean)
+
+    val silence = listOf(Loss("a", true, 1_000), Loss("b", true, 1_300))
+    listOf(
+        CutCase("nothing was lost", emptyList(), null, 2_000, false),
+        CutCase("one instance is silent", silence.take(1), null, 1_400, false),
+        CutCase("two are silent", silence, null, 1_400, true),
+        CutCase("two are silent and one was heard from before", silence, 990, 1_400, true),
+        CutCase("two are silent and another is heard from", silence, 1_200, 1_400, false),
+        CutCase("two were silent a while ago", silence, null, 2_600, false),
+        CutCase("two closed their connections", silence.map { it.copy(silent = false) }, null, 1_400, false),
+        CutCase("one was silent twice", silence.map { it.copy(instance = "a") }, null, 1_400, false),
+    ).forEach { case ->
+        test("${case.what}: ${if (case.cutOff) "" else "not "}cut off") {
+            val reach = InstanceReach()
+            case.losses.forEach { reach.lost(InstanceName(it.instance), domain, it.silent, it.at) }
+            case.heardAt?.let { reach.heard(domain, it) }
+            reach.isCutOff(domain, case.at) shouldBe case.cutOff
+        }
+    }
+})
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
@@ -4,7 +4,9 @@
 package rhubarbspool.entry
 
 import rhubarbspool.model.Address
+import rhubarbspool.model.FailureDomainName
 import rhubarbspool.model.InstanceName
+import rhubarbspool.placement.InstanceReach
 import rhubarbspool.placement.Rendezvous
 
 /** A question that was asked; [withdraw] or [done] end it. */
@@ -43,7 +45,7 @@
     /** Name of this process among those that ask. */
     val self = "${context.settings.instance}/${context.clock()}"
     private val links = HashMap<Address, PeerLink>()
-    private val suspects = HashMap<InstanceName, Long>()
+    private val reach = InstanceReach()
     private val local = HashMap<Long, (DecisionMessage) -> Unit>()
     private var nextId = 0L
     private var gossipedAt = 0L
@@ -62,7 +64,9 @@
             pools.ask(self, ask, now)
         } else {
             link.ask(ask, now) { decision ->
-                if (decision === PeerLink.LOST) suspect(holder.instance)
+                if (decision === PeerLink.LOST || decision === PeerLink.SILENT) {
+                    lost(holder, decision === PeerLink.SILENT)
+                }
                 decided(decision)
             }
         }
@@ -92,10 +96,15 @@
             others.randomOrNull()?.let { other -> linkTo(other).tell(PeerMessage(ping = true), now) }
         }
         links.values.filter { it.isSilent(now) || it.isUnused(now) }.forEach { it.giveUp() }
-        suspects.values.removeAll { it <= now }
     }
 
-    override fun heard(news: NewsMessage) = events.heard(news)
+    /** Whether no instance of [domain] can be reached at [now]. */
+    fun isCutOff(domain: FailureDomainName, now: Long): Boolean = reach.isCutOff(domain, now)
+
+    override fun heard(link: PeerLink, news: NewsMessage?) {
+        reach.heard(link.member.domain, context.clock())
+        news?.let(events::heard)
+    }
 
     override fun lost(link: PeerLink) {
         links.values.removeAll { it === link }
@@ -103,7 +112,7 @@
 
     private fun holderOf(pool: PoolName, now: Long): Member? {
         val members = context.state.shared.members.values
-        val known = members.filter { it.instance == context.settings.instance || (suspects[it.instance] ?: 0) <= now }
+        val known = members.filter { it.instance == context.settings.instance || !reach.isPassedOver(it.instance, now) }
         val near = known.filter { it.domain.text == pool.domain }
         val candidates = near.ifEmpty { known.filter { it.domain == context.settings.domain } }
         val subject = "${pool.service}/${pool.domain}/${pool.server}"
@@ -112,19 +121,25 @@
         )
     }
 
-    private fun suspect(instance: InstanceName) {
-        val isNews = suspects.put(instance, context.clock() + SUSPECT_MILLISECONDS) == null
-        if (isNews) context.log.belief("instance", "instance" to instance, "state" to "unreachable")
+    private fun lost(member: Member, silent: Boolean) {
+        val now = context.clock()
+        val isNews = reach.lost(member.instance, member.domain, silent, now)
+        val cutOff = isCutOff(member.domain, now)
+        if (!isNews) return
+        context.log.belief(
+            "instance",
+            "instance" to member.instance,
+            "state" to if (silent) "silent" else "unreachable",
+            "domain" to member.domain,
+            "cutOff" to cutOff,
+        )
     }
 
     private fun linkTo(member: Member): PeerLink =
-        links.getOrPut(member.peers) { PeerLink(context, transport, member.peers, self, this) }
+        links.getOrPut(member.peers) { PeerLink(context, transport, member, self, this) }
 
     private companion object {
         /** News of rows reaches most instances within a few rounds, also where there are no requests. */
         const val GOSSIP_MILLISECONDS = 250L
-
-        /** How long an instance that could not be reached is passed over. */
-        const val SUSPECT_MILLISECONDS = 1_500L
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerLink.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerLink.kt
@@ -5,27 +5,27 @@
 package rhubarbspool.entry
 
 import io.netty.channel.Channel
-import rhubarbspool.model.Address
 
 /** Hears of one link. */
 internal interface LinkEvents {
-    /** The other side told its [news]. */
-    fun heard(news: NewsMessage)
+    /** The other side of [link] was heard from, with its [news] if it told any. */
+    fun heard(link: PeerLink, news: NewsMessage?)
 
     /** The connection of [link] ended. */
     fun lost(link: PeerLink)
 }
 
-/** Questions of the instance called [hello] to the one at [address]. */
+/** Questions of the instance called [hello] to [member]. */
 internal class PeerLink(
     private val context: ProcessContext,
     private val transport: PeerTransport,
-    private val address: Address,
+    val member: Member,
     private val hello: String,
     private val events: LinkEvents,
 ) : PeerListener {
     private var channel: Channel? = null
     private var connecting = false
+    private var connectingAt = 0L
     private val unsent = ArrayList<PeerMessage>()
     private val open = HashMap<Long, (DecisionMessage) -> Unit>()
     private var askedAt = 0L
@@ -60,7 +60,7 @@
     /** Closes the connection and hands open questions back. */
     fun giveUp() {
         channel?.close()
-        closed()
+        ended(SILENT)
     }
 
     override fun opened(channel: Channel) {
@@ -73,18 +73,23 @@
 
     override fun received(message: PeerMessage) {
         heardAt = context.clock()
-        message.news?.let(events::heard)
+        events.heard(this, message.news)
         message.decision?.let { open[it.id]?.invoke(it) }
     }
 
     override fun closed() {
+        val unanswered = connecting && context.clock() - connectingAt >= PeerTransport.CONNECT_MILLISECONDS
+        ended(if (unanswered) SILENT else LOST)
+    }
+
+    private fun ended(how: DecisionMessage) {
         channel = null
         connecting = false
         unsent.clear()
         val handedBack = open.values.toList()
         open.clear()
         events.lost(this)
-        handedBack.forEach { it(LOST) }
+        handedBack.forEach { it(how) }
     }
 
     private fun send(message: PeerMessage, now: Long) {
@@ -97,15 +102,21 @@
             transport.send(current, complete)
         } else {
             unsent += complete
-            if (!connecting) transport.connect(address, this)
-            connecting = true
+            if (!connecting) {
+                connecting = true
+                connectingAt = now
+                transport.connect(member.peers, this)
+            }
         }
     }
 
     companion object {
-        /** The decision that stands for a lost connection. */
+        /** The decision that stands for a connection that was closed. */
         val LOST = DecisionMessage(-1)
 
+        /** The decision that stands for a connection on which nothing comes. */
+        val SILENT = DecisionMessage(-2)
+
         /** An answer takes a few milliseconds; this much silence calls for a sign of life. */
         private const val PING_MILLISECONDS = 150L
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
@@ -100,15 +100,21 @@
     }
 
     @OptIn(ExperimentalSerializationApi::class)
-    private companion object {
-        const val LENGTH_BYTES = 4
-        const val MAXIMUM_FRAME_BYTES = 1_048_576
+    companion object {
+        private const val LENGTH_BYTES = 4
+        private const val MAXIMUM_FRAME_BYTES = 1_048_576
 
         /** Two round trips between failure domains and some load. */
         const val CONNECT_MILLISECONDS = 300
 
-        fun encode(message: PeerMessage): ByteArray = ProtoBuf.encodeToByteArray(PeerMessage.serializer(), message)
+        private fun encode(message: PeerMessage): ByteArray = ProtoBuf.encodeToByteArray(
+            PeerMessage.serializer(),
+            message
+        )
 
-        fun decode(bytes: ByteArray): PeerMessage = ProtoBuf.decodeFromByteArray(PeerMessage.serializer(), bytes)
+        private fun decode(bytes: ByteArray): PeerMessage = ProtoBuf.decodeFromByteArray(
+            PeerMessage.serializer(),
+            bytes
+        )
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolSearch.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolSearch.kt
@@ -43,17 +43,21 @@
 
     /** Begins anew. */
     fun begin() {
+        val now = flow.process.clock()
         val home = flow.process.settings.domain
-        val owner = if (facts.service.sharded) facts.owner(flow.process.clock()) else null
+        val owner = if (facts.service.sharded) facts.owner(now) else null
         hasPermit = false
         askedOwner = owner
         stages = ArrayDeque()
-        if (owner != null) {
+        if (owner != null && owner.domain != home && flow.hub.isCutOff(owner.domain, now)) {
+            val detail = "${owner.domain} is cut off"
+            events.refused(RequestError(ErrorKind.GATE_UNREACHABLE, detail, NO_OWNER_MILLISECONDS))
+        } else if (owner != null) {
             ask(PoolName(facts.service.name.text, owner.domain.text, owner.server.text), WaitMode.UNTIL_DEADLINE)
         } else if (facts.service.sharded) {
             events.refused(RequestError(ErrorKind.NO_OWNER, "key ${facts.key}", NO_OWNER_MILLISECONDS))
         } else {
-            val others = (flow.process.settings.domains - home).shuffled()
+            val others = (flow.process.settings.domains - home).filterNot { flow.hub.isCutOff(it, now) }.shuffled()
             stages += Stage(home, WaitMode.IN_TIME)
             stages += others.map { Stage(it, WaitMode.FREE_SLOT) } + others.map { Stage(it, WaitMode.IN_TIME) }
             stages += Stage(home, WaitMode.UNTIL_DEADLINE)
@@ -89,7 +93,7 @@
     private fun decided(decision: DecisionMessage) {
         val asked = ask ?: return
         when {
-            decision === PeerLink.LOST -> lost(asked)
+            decision === PeerLink.LOST || decision === PeerLink.SILENT -> lost(asked)
             decision.refusal != null -> refused(asked, decision.refusal, decision.retryAfter)
             decision.server.isNotEmpty() && !hasPermit -> {
                 hasPermit = true
