--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CallPlanner.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CallPlanner.kt
@@ -12,12 +12,12 @@
 )
 
 /**
- * Plans calls. Ranges that move come first, since their callers wait, but leave a part of the calls to renewals; within
- * each group the ranges take turns. Times are monotonic milliseconds.
+ * Plans calls. Ranges that have moved or are to move come first, since their callers wait, but leave a part of the calls
+ * to renewals; within each group the ranges take turns. Times are monotonic milliseconds.
  */
 internal class CallPlanner(private val holds: HoldTable) {
-    private var movesFrom = 0
     private var renewalsFrom = 0
+    private var movesFrom = 0
 
     /**
      * At most [most] calls. Ranges that are [busy] get none; those whose owner may not keep them are taken back where
@@ -26,11 +26,15 @@
     fun calls(inputs: CallInputs, busy: Set<Int>, most: Int): List<OwnershipEffect> {
         val idle = inputs.document.ownerOf.indices.filter { it !in busy && mayBeCalled(it, inputs) }
         val (moving, staying) = idle.partition { moves(it, inputs) }
-        val moves = inTurn(moving, movesFrom, most - most / RENEWALS_SHARE) { takeBack(it, inputs) }
+        val (moved, settled) = staying.partition { holds[it].isUngranted }
+        val first = inTurn(settled, renewalsFrom, most / RENEWALS_SHARE) { renew(it, inputs) }
+        val grants = inTurn(moved, 0, most - first.effects.size) { renew(it, inputs) }
+        val called = first.effects + grants.effects
+        val moves = inTurn(moving, movesFrom, most - called.size) { takeBack(it, inputs) }
         movesFrom = moves.next
-        val renewals = inTurn(staying, renewalsFrom, most - moves.effects.size) { renew(it, inputs) }
-        renewalsFrom = renewals.next
-        return moves.effects + renewals.effects
+        val rest = inTurn(settled, first.next, most - called.size - moves.effects.size) { renew(it, inputs) }
+        renewalsFrom = rest.next
+        return called + moves.effects + rest.effects
     }
 
     private class Turn(val effects: List<OwnershipEffect>, val next: Int)
@@ -82,7 +86,7 @@
         val owner = inputs.document.owner(range)?.takeIf(inputs.view::isListed)
         val troubled = inputs.view.storeTroubled
         val interval = if (troubled) HoldTimes.TROUBLED_RENEWAL else HoldTimes.RENEWAL
-        if (owner == null || inputs.now - hold.grantedAt < interval) return null
+        if (owner == null || hold.calling || inputs.now - hold.grantedAt < interval) return null
         val time = if (troubled) HoldTimes.LONGEST_GRANT else HoldTimes.HOLD
         val fence = inputs.document.fences[range] + if (hold.fenced) 1 else 0
         return called(hold, inputs.now, OwnershipEffect.Grant(range, owner, fence, time, hold.handover))
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
@@ -42,6 +42,9 @@
     /** When the range last got a new owner. */
     var movedAt: Long = LONG_AGO
 
+    /** Whether its owner is new and has not accepted a grant yet. */
+    val isUngranted: Boolean get() = grantedAt == LONG_AGO && movedAt != LONG_AGO
+
     /** Whether a grant with the even token that has no answer, or is not known here, may take effect at [now]. */
     fun isDoubtful(now: Long): Boolean = !fenced && now < maxOf(doubtUntil, unansweredUntil)
 
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/TakeBackTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/TakeBackTest.kt
@@ -23,32 +23,47 @@
     val leaving = entries.first()
     val owners = entries.map(OwnershipPlan::ownerOf)
 
-    /** Milliseconds until none of [ranges] belongs to the leaving server, where all calls are answered [result]. */
-    fun timeToMove(isTakeover: Boolean, listed: List<BackendEntry>, result: OrderResult, ranges: Int = 64): Long {
+    /** Milliseconds until no range is left with the leaving server, and for which a moved one waited for its grant. */
+    data class Move(val all: Long, val ungranted: Long)
+
+    /** Moves the leaving server's part of [ranges], where all calls are answered [result]. */
+    fun move(isTakeover: Boolean, listed: List<BackendEntry>, result: OrderResult, ranges: Int = 64): Move {
         val document = OwnershipDocument.empty(ranges).with((0 until ranges).associateWith { owners[it % 3] })
         val leavesAt = 100_000L
         var now = if (isTakeover) leavesAt else leavesAt - CALM
         val coordinator = OwnershipCoordinator(document, now, isNew = !isTakeover)
+        val movedAt = HashMap<Int, Long>()
+        var ungranted = 0L
         while (coordinator.document.ownerOf.indices.any { coordinator.document.owner(it) == owners[0] }) {
             val servers = if (now < leavesAt) entries else listed
             val view = OwnershipView(servers, servers.associateBy { it.address }, emptySet(), storeTroubled = false)
             coordinator.tick(view, CALLS, Now(now, now)).forEach { effect ->
                 when (effect) {
-                    is OwnershipEffect.Write -> coordinator.onWritten(now)
-                    is OwnershipEffect.Grant -> coordinator.onGrant(effect, result, now, now)
+                    is OwnershipEffect.Write -> {
+                        val before = coordinator.document
+                        coordinator.onWritten(now)
+                        val after = coordinator.document
+                        (0 until ranges).filter { before.owner(it) != after.owner(it) }.forEach { movedAt[it] = now }
+                    }
+                    is OwnershipEffect.Grant -> {
+                        movedAt.remove(effect.range)?.let { ungranted = maxOf(ungranted, now - it) }
+                        coordinator.onGrant(effect, result, now, now)
+                    }
                     is OwnershipEffect.Release -> coordinator.onRelease(effect, result, null)
                 }
             }
             now += STEP
-            if (now - leavesAt > LONGEST) return LONGEST
+            if (now - leavesAt > LONGEST) return Move(LONGEST, LONGEST)
         }
-        return now - leavesAt
+        return Move(now - leavesAt, ungranted)
     }
 
     test("ranges of a server that drains move before the other ranges are renewed") {
         val listed = listOf(leaving.copy(state = ServerState.DRAINING)) + entries.drop(1)
         val ranges = OwnershipDocument.empty().ranges
-        timeToMove(isTakeover = false, listed, OrderResult.ACCEPTED, ranges) shouldBeLessThan 1_000
+        val move = move(isTakeover = false, listed, OrderResult.ACCEPTED, ranges)
+        move.all shouldBeLessThan 1_000
+        move.ungranted shouldBeLessThan 150
     }
 
     data class MoveCase(
@@ -76,7 +91,7 @@
     ).forEach { case ->
         test("ranges of a server that ${case.what} move within ${case.most} ms") {
             val listed = listOfNotNull(case.entry) + entries.drop(1)
-            timeToMove(case.takeover, listed, case.result) shouldBeLessThan case.most
+            move(case.takeover, listed, case.result).all shouldBeLessThan case.most
         }
     }
 })
@@ -85,7 +100,7 @@
 
 /** Time with all servers before one leaves. */
 private const val CALM = 5_000L
-private const val CALLS = 14
+private const val CALLS = 20
 private const val LONGEST = 30_000L
 
 /** A hold that nobody ends runs out. */
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
@@ -33,8 +33,7 @@
             fence(now.monotonic)
         } else {
             unwritten?.takeIf { now.monotonic >= retryAt }?.let { write(current, it) }
-            val most = if (view.storeTroubled) TROUBLED_CALLS_PER_TICK else CALLS_PER_TICK
-            current.tick(view, most, now).forEach { carryOut(current, it) }
+            current.tick(view, CALLS_PER_TICK, now).forEach { carryOut(current, it) }
         }
     }
 
@@ -121,11 +120,11 @@
     }
 
     private companion object {
-        /** Calls to servers in one tick of 20 ms; a thousand ranges are renewed in about two seconds. */
-        const val CALLS_PER_TICK = 14
-
-        /** While the table fails, all ranges are renewed for long within about a second, before the lease ends. */
-        const val TROUBLED_CALLS_PER_TICK = 24
+        /**
+         * Calls to servers in one tick of 20 ms: a third of a thousand ranges moves within a second, and while the
+         * table fails all are renewed for long within about a second, before the lease ends.
+         */
+        const val CALLS_PER_TICK = 20
         const val RETRY_MILLISECONDS = 200L
     }
 }
