--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CallPlanner.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CallPlanner.kt
@@ -12,8 +12,8 @@
 )
 
 /**
- * Plans calls. Ranges that have moved or are to move come first, since their callers wait, but leave a part of the calls
- * to renewals; within each group the ranges take turns. Times are monotonic milliseconds.
+ * Plans calls. Ranges that have moved or are to move come first, since their callers wait, but leave a part of the
+ * calls to renewals; within each group the ranges take turns. Times are monotonic milliseconds.
  */
 internal class CallPlanner(private val holds: HoldTable) {
     private var renewalsFrom = 0
