--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
@@ -50,17 +50,9 @@
         fun best(mayMove: (Int) -> Boolean): Pair<Int, Owner>? {
             val light = servers.minBy { it.busy }
             val joined = light.ranges.size < fairCount * JOINED_SHARE * light.candidate.weight / USUAL_WEIGHT
-            return servers.sortedByDescending { it.busy }.take(TRIED_SERVERS).firstNotNullOfOrNull { heavy ->
-                if (heavy === light || (heavy.busy < BUSY && !joined)) {
-                    null
-                } else {
-                    move(
-                        heavy,
-                        smallestGain(heavy, joined),
-                        mayMove
-                    )
-                }
-            }
+            return servers.sortedByDescending { it.busy }.take(TRIED_SERVERS)
+                .filter { heavy -> heavy !== light && (heavy.busy >= BUSY || joined) }
+                .firstNotNullOfOrNull { heavy -> move(heavy, smallestGain(heavy, joined), mayMove) }
         }
 
         /** A hot range may be best off at the fastest server, though that is not the idlest. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
@@ -58,14 +58,8 @@
     /** Takes in [entry] at [now]. */
     fun put(entry: BackendEntry, now: Long) {
         lapsing.remove(entry.server)
-        if (entry.state == ServerState.DRAINING) {
-            drainingSince.putIfAbsent(
-                entry.server,
-                now
-            )
-        } else {
-            drainingSince.remove(entry.server)
-        }
+        val drains = entry.state == ServerState.DRAINING
+        if (drains) drainingSince.putIfAbsent(entry.server, now) else drainingSince.remove(entry.server)
         if (entries.put(entry.server, entry) != entry) changes++
     }
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -95,7 +95,6 @@
     }
 
     private companion object {
-
         /** All instances of an installation start within a third of a second of each other. */
         const val INTRODUCED_MILLISECONDS = 600L
 
