--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/Pool.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/Pool.kt
@@ -11,11 +11,14 @@
  * Decides which request is sent to which server, and when. Not thread-safe; all times are monotonic milliseconds.
  *
  * @param order how requests that can still be answered in time are ordered.
+ * @param room how many may wait.
  */
-class Pool(order: QueueOrder = QueueOrder.ADAPTIVE) {
+class Pool internal constructor(order: QueueOrder, room: QueueRoom) {
+    constructor() : this(QueueOrder.ADAPTIVE, QueueRoom.BY_LOAD)
+
     private class Out(val ticket: Ticket, val server: ServerName)
 
-    private val servers = PoolServers()
+    private val servers = PoolServers(room)
     private val queue = TicketQueue(order)
     private val out = HashMap<Pair<String, Long>, Out>()
 
@@ -32,13 +35,16 @@
     }
 
     /** Takes in [ticket] at [now]. */
-    fun offer(ticket: Ticket, now: Long): List<PoolDecision> = when {
-        !servers.anyFit(ticket, now) ->
-            listOf(PoolDecision.Refuse(ticket, PoolRefusal.NO_SERVER, NO_SERVER_RETRY_MILLISECONDS))
-        (queue.size > 0 || !servers.hasFree(ticket, now)) && isHopeless(ticket, now) -> listOf(refuse(ticket, now))
-        else -> {
-            queue.add(ticket)
-            dispatch(now) + makeRoom(ticket, now)
+    fun offer(ticket: Ticket, now: Long): List<PoolDecision> {
+        servers.arrivals.arrived(now)
+        return when {
+            !servers.anyFit(ticket, now) ->
+                listOf(PoolDecision.Refuse(ticket, PoolRefusal.NO_SERVER, NO_SERVER_RETRY_MILLISECONDS))
+            (queue.size > 0 || !servers.hasFree(ticket, now)) && isHopeless(ticket, now) -> listOf(refuse(ticket, now))
+            else -> {
+                queue.add(ticket)
+                dispatch(now) + makeRoom(ticket, now)
+            }
         }
     }
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServers.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServers.kt
@@ -6,11 +6,14 @@
 import rhubarbspool.model.ServerName
 import rhubarbspool.traffic.BackendEntry
 
-/** Servers of one pool. Times are milliseconds. */
-internal class PoolServers {
+/** Servers of one pool, and how many requests may wait for them by [room]. Times are milliseconds. */
+internal class PoolServers(private val room: QueueRoom) {
     private val servers = LinkedHashMap<ServerName, PoolServer>()
     private var coldRate: Double? = null
 
+    /** Requests that arrive, refused ones included. */
+    val arrivals = ArrivalRate()
+
     /** Time that a request usually takes. */
     var usual: Double = FIRST_SERVICE_MILLISECONDS
         private set
@@ -53,10 +56,10 @@
         }
     }
 
-    /** How many requests may wait so that the last of them is still answered within [span] milliseconds. */
+    /** How many requests may wait at [now], the newest of which is due in [span] milliseconds. */
     fun room(span: Long, now: Long): Int {
         val slots = servers.values.filter { it.isFit(now) }.sumOf { it.entry.slots }
-        return maxOf(SHORTEST_QUEUE, ((span - usual) * slots / usual).toInt())
+        return room.of(PoolLoad(span, usual, slots, arrivals.at(now)))
     }
 
     /** The best free server; none when waiting for another one would be better than a slow one. */
@@ -85,7 +88,6 @@
 
         /** A server that fails one request in eight counts as twice as slow. */
         const val FAULT_PENALTY = 8.0
-        const val SHORTEST_QUEUE = 2
         const val LONG_WAIT_MILLISECONDS = 10_000.0
     }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
@@ -13,7 +13,7 @@
 /**
  * The lease as one process sees it. Not thread-safe.
  *
- * @param self the name of the instance and, after a slash, of this life of its process.
+ * @param self names the instance and its address and, after the last slash, this life of its process.
  */
 class CoordinatorLease(private val self: String) {
     private val row = LeaseRow(self)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LeaseRow.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LeaseRow.kt
@@ -3,7 +3,7 @@
  */
 package rhubarbspool.ownership
 
-/** The row as seen by [self], which names an instance and, after a slash, the life of its process. */
+/** The row as seen by [self]: an instance, its address and, after the last slash, the life of its process. */
 internal class LeaseRow(private val self: String) {
     private var seenAt = 0L
 
@@ -43,8 +43,8 @@
         }
     }
 
-    /** An instance has one process at a time, so that the start of this one proves the end of its former life. */
-    private fun isFormerLife(): Boolean = holder?.substringBefore('/') == self.substringBefore('/')
+    /** An address has one process at a time, so that the start of this one proves the end of its former life. */
+    private fun isFormerLife(): Boolean = holder?.substringBeforeLast('/') == self.substringBeforeLast('/')
 
     private companion object {
         const val UNKNOWN = -1L
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/dispatch/PoolReplay.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/dispatch/PoolReplay.kt
@@ -28,23 +28,49 @@
     val mode: WaitMode = WaitMode.UNTIL_DEADLINE,
 )
 
-/** What became of a replay; [worth] is the share of what could be earned. */
-internal data class ReplayResult(val asked: Int, val inTime: Int, val late: Int, val refused: Int, val worth: Double)
+/**
+ * What became of a replay.
+ *
+ * @property asked callers; [refused] those that were refused in the end.
+ * @property worth the share of what could be earned.
+ * @property held mean time for which a request was held that was then refused, in milliseconds.
+ */
+internal data class ReplayResult(
+    val asked: Int,
+    val inTime: Int,
+    val late: Int,
+    val refused: Int,
+    val worth: Double,
+    val held: Double,
+)
 
-internal class PoolReplay(private val pattern: LoadPattern, seed: Int, order: QueueOrder) {
+/** Plays [pattern]; a caller that is refused comes back once, when it was told to or after a third of its time. */
+internal class PoolReplay(
+    private val pattern: LoadPattern,
+    seed: Int,
+    order: QueueOrder = QueueOrder.ADAPTIVE,
+    room: QueueRoom = QueueRoom.BY_LOAD,
+) {
     private sealed interface Happening {
         data object Arrival : Happening
 
+        data class Return(val caller: Try) : Happening
+
         data class End(val id: Long, val took: Long) : Happening
 
         data object Tick : Happening
     }
 
+    private data class Try(val firstAt: Long, val arrivedAt: Long, val again: Boolean)
+
     private val random = Random(seed)
-    private val pool = Pool(order)
+    private val pool = Pool(order, room)
     private val agenda = PriorityQueue<Pair<Long, Happening>>(compareBy { it.first })
-    private val arrivedAt = HashMap<Long, Long>()
+    private val tries = HashMap<Long, Try>()
     private var next = 0L
+    private var asked = 0
+    private var refusals = 0
+    private var held = 0L
     private var inTime = 0
     private var late = 0
     private var refused = 0
@@ -57,6 +83,7 @@
             val (now, what) = agenda.poll()
             when (what) {
                 Happening.Arrival -> arrive(now)
+                is Happening.Return -> offer(what.caller, now)
                 is Happening.End -> end(what, now)
                 Happening.Tick -> {
                     decided(pool.tick(now), now)
@@ -64,15 +91,32 @@
                 }
             }
         }
-        val asked = next.toInt()
-        return ReplayResult(asked, inTime, late, refused, (inTime + late * pattern.lateWorth) / asked)
+        val worth = (inTime + late * pattern.lateWorth) / asked
+        return ReplayResult(asked, inTime, late, refused, worth, held.toDouble() / maxOf(1, refusals))
     }
 
-    private fun arrive(now: Long) {
+    private fun offer(caller: Try, now: Long) {
         val id = next++
-        arrivedAt[id] = now
-        val ticket = Ticket("caller", id, 1, now + pattern.target, now + pattern.deadline, pattern.mode)
-        decided(pool.offer(ticket, now), now)
+        tries[id] = caller
+        val deadline = caller.firstAt + pattern.deadline
+        decided(pool.offer(Ticket("caller", id, 1, now + pattern.target, deadline, pattern.mode), now), now)
+    }
+
+    private fun refused(id: Long, retryAfter: Long, now: Long) {
+        val caller = tries.getValue(id)
+        refusals++
+        held += now - caller.arrivedAt
+        if (caller.again) {
+            refused++
+        } else {
+            val back = now + minOf(retryAfter, (caller.firstAt + pattern.deadline - now) / LONGEST_PAUSE_SHARE)
+            agenda += back to Happening.Return(Try(caller.firstAt, back, again = true))
+        }
+    }
+
+    private fun arrive(now: Long) {
+        asked++
+        offer(Try(now, now, again = false), now)
         val gap = -ln(1 - random.nextDouble()) * MILLISECONDS / pattern.requestsPerSecond(now)
         if (now + gap < pattern.length) agenda += now + gap.toLong() to Happening.Arrival
     }
@@ -87,12 +131,12 @@
                 val took = maxOf(1L, (mean * drawn).toLong())
                 agenda += now + took to Happening.End(decision.ticket.id, took)
             }
-            is PoolDecision.Refuse -> refused++
+            is PoolDecision.Refuse -> refused(decision.ticket.id, decision.retryAfterMilliseconds, now)
         }
     }
 
     private fun end(what: Happening.End, now: Long) {
-        val waited = now - arrivedAt.getValue(what.id)
+        val waited = now - tries.getValue(what.id).firstAt
         if (waited <= pattern.target) inTime++ else if (waited <= pattern.deadline) late++
         decided(pool.finished("caller", what.id, CallEnd(CallOutcome.ANSWERED, what.took), now), now)
     }
@@ -111,5 +155,8 @@
     private companion object {
         const val MILLISECONDS = 1_000.0
         const val TICK = 20L
+
+        /** Callers wait for at most a third of the time that they have left. */
+        const val LONGEST_PAUSE_SHARE = 3
     }
 }
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/CoordinatorLeaseTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/CoordinatorLeaseTest.kt
@@ -52,18 +52,20 @@
     }
 
     test("an instance that starts again takes over from its former life at once, whatever its rank") {
-        val lease = CoordinatorLease("a/2000")
+        val lease = CoordinatorLease("a/10.0.0.1:1/2000")
         lease.next(LAST_RANK, now(0)) shouldBe LeaseStep.READ
         lease.began(LeaseStep.READ, now(0))
-        lease.observed("a/1000", 7, now(5))
+        lease.observed("a/10.0.0.1:1/1000", 7, now(5))
         lease.next(LAST_RANK, now(5)) shouldBe LeaseStep.WRITE
     }
 
-    test("an instance whose name begins like the holder's waits like any other") {
-        val lease = CoordinatorLease("a-1/2000")
-        lease.began(LeaseStep.READ, now(0))
-        lease.observed("a/1000", 7, now(5))
-        lease.next(0, now(5)) shouldBe LeaseStep.NOTHING
+    listOf("a-1/10.0.0.1:1/1000", "a/10.0.0.2:1/1000").forEach { holder ->
+        test("a process waits like any other for the end of $holder") {
+            val lease = CoordinatorLease("a/10.0.0.1:1/2000")
+            lease.began(LeaseStep.READ, now(0))
+            lease.observed(holder, 7, now(5))
+            lease.next(0, now(5)) shouldBe LeaseStep.NOTHING
+        }
     }
 
     test("an outage of the table does not count as the holder's end") {
--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
@@ -8,6 +8,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -83,7 +84,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAXIMUM_ANSWER_BYTES))
+                    channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAXIMUM_ANSWER_BYTES), Idle())
                 }
             })
             .connect(address.host, address.port)
@@ -125,6 +126,15 @@
         return request
     }
 
+    /** A connection that fails while no call is under way has nobody to tell. */
+    private class Idle : ChannelInboundHandlerAdapter() {
+        @Deprecated("Overrides a deprecated method of Netty")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            if (context.pipeline().get(AnswerHandler::class.java) != null) context.fireExceptionCaught(cause)
+            context.close()
+        }
+    }
+
     private inner class AnswerHandler(
         private val address: Address,
         private val answer: CompletableFuture<HttpAnswer>,
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseKeeper.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseKeeper.kt
@@ -10,7 +10,7 @@
 
 /** Carries out the steps of the lease. */
 internal class LeaseKeeper(private val context: ProcessContext, private val table: PlatformTable) {
-    private val self = "${context.settings.instance}/${context.now().wall}"
+    private val self = context.settings.run { "$instance/$peers/${context.now().wall}" }
     private val lease = CoordinatorLease(self)
 
     /** The holder that was last seen and the version of its row. */
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerLinks.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerLinks.kt
@@ -86,7 +86,7 @@
 
     private fun codec() = HttpClientCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES)
 
-    /** Closes a connection that brings bytes while no request is under way. */
+    /** Closes a connection that fails, or brings bytes, while no request is under way. */
     private class Unasked : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             if (message is ByteBuf && context.pipeline().get(ServerExchange::class.java) == null) {
@@ -99,7 +99,7 @@
 
         @Deprecated("Overrides a deprecated method of Netty")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            context.fireExceptionCaught(cause)
+            if (context.pipeline().get(ServerExchange::class.java) != null) context.fireExceptionCaught(cause)
             context.close()
         }
     }
