Log when a missing server may have lapsed, and why the table counts as out

Of a removed server that was kept the log told only its end (`lapsed`). It now has a line when the entry goes missing and one when an instance begins to take the table for out, with the cause: a failed call of its own, or readers that resigned.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
@@ -36,6 +36,9 @@
     fun isLeaving(server: ServerName): Boolean =
         server in drainingSince || entries[server]?.domain in evacuatedSince
 
+    /** Whether the entry of [server] is missing and may have lapsed in an outage. */
+    fun isLapsing(server: ServerName): Boolean = server in lapsing
+
     /** Whether [server] may get work at [now]; one that is leaving may for a moment, since its keys are on the move. */
     fun mayStillServe(server: ServerName, now: Long): Boolean {
         val entry = entries[server] ?: return false
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -71,14 +71,16 @@
 
     private fun server(item: FeedItem.Server, afterOutage: Boolean, now: Long) {
         val before = directory[item.server]
+        val lapsed = directory.isLapsing(item.server)
         if (item.entry != null) {
             directory.put(item.entry, now)
         } else {
             directory.remove(item.server, now, afterOutage)
         }
         val after = directory[item.server]
-        if (before?.state != after?.state || before?.bornWall != after?.bornWall) {
-            val state = after?.state ?: "gone"
+        val lapses = directory.isLapsing(item.server)
+        if (before?.state != after?.state || before?.bornWall != after?.bornWall || lapsed != lapses) {
+            val state = if (lapses) "lapsing" else after?.state ?: "gone"
             log.belief("server", "server" to item.server, "state" to state, "service" to after?.service)
         }
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -126,7 +126,10 @@
             context.log.event("table.lost", "feed" to feed, "cause" to failure.message)
         }
         context.metrics.tableFailed(feed.name)
-        if (feed == Feed.SERVERS) outage.failed(now)
+        if (feed == Feed.SERVERS) {
+            if (!outage.isRecent(now)) context.log.belief("table", "state" to "out", "cause" to failure.message)
+            outage.failed(now)
+        }
         if (!isActive) return
         val wait = (FIRST_RETRY_MILLISECONDS shl minOf(failures++, MAXIMUM_DOUBLINGS))
         val jitter = (Math.random() * wait).toLong()
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -56,7 +56,9 @@
     override fun lost(subscription: Subscription, resigned: Boolean) {
         val now = context.clock()
         choice.passOver(subscription.reader, now)
+        val wasOut = outage.isRecent(now)
         if (resigned) outage.resigned(subscription.reader, now)
+        if (outage.isRecent(now) && !wasOut) context.log.belief("table", "state" to "out", "cause" to "readers resigned")
         val state = if (resigned) "resigned" else "lost"
         context.log.belief("reader", "instance" to subscription.reader, "state" to state)
         subscription.end()
