End work for a server without an entry when a drain's time is over

Callers' bookings went to a server up to 2,392 ms after its removal, and to others up to 2,214 ms in RemovedServersTest (bound 2,000 ms). An instance that takes the table to have been out keeps removed entries for 2 s and looks every 0.5 s which of them did not come back; until then they got work as before. So each wrong belief in an outage broke the bound.

A server whose entry is missing now gets work for 1.5 s at most, like one that drains; the entry itself stays for the 2 s in which living servers register again, so that keys are not moved in vain, and is dropped within a tick. The bound holds whatever an instance believes of the table.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
@@ -1,6 +1,7 @@
 /*
  * The backend servers that this instance knows of, and which of them take work. Entries that lapse around an outage of
- * the platform's table are kept for a moment after its return, since living servers register again then.
+ * the platform's table are kept for a moment after its return, since living servers register again then. An instance may
+ * be wrong about the outage, so a server without an entry gets work no longer than one that drains.
  */
 package rhubarbspool.traffic
 
@@ -11,7 +12,7 @@
 /** A copy of the platform's server entries. All times are monotonic milliseconds. */
 class ServerDirectory {
     private val entries = HashMap<ServerName, BackendEntry>()
-    private val lapsing = HashMap<ServerName, Long>()
+    private val missingSince = HashMap<ServerName, Long>()
     private val drainingSince = HashMap<ServerName, Long>()
     private val evacuatedSince = HashMap<FailureDomainName, Long>()
 
@@ -28,23 +29,28 @@
     /** Domains whose servers are to get no new work. */
     val evacuated: Set<FailureDomainName> get() = evacuatedSince.keys
 
-    /** Servers of [service] that take new work. */
-    fun usable(service: ServiceName): List<BackendEntry> =
-        entries.values.filter { it.service == service && it.state == ServerState.READY && it.domain !in evacuatedSince }
+    /** Whether any entry is missing and may have lapsed in an outage. */
+    val hasLapsing: Boolean get() = missingSince.isNotEmpty()
 
-    /** Whether [server] is leaving: it drains, or its domain is evacuated. */
+    /** Servers of [service] that take new work at [now]. */
+    fun usable(service: ServiceName, now: Long): List<BackendEntry> = entries.values.filter {
+        it.service == service && it.state == ServerState.READY && it.domain !in evacuatedSince &&
+            !isOver(missingSince[it.server], LEAVING_MILLISECONDS, now)
+    }
+
+    /** Whether [server] is leaving: it drains, its entry is missing, or its domain is evacuated. */
     fun isLeaving(server: ServerName): Boolean =
-        server in drainingSince || entries[server]?.domain in evacuatedSince
+        server in drainingSince || isLapsing(server) || entries[server]?.domain in evacuatedSince
 
     /** Whether the entry of [server] is missing and may have lapsed in an outage. */
-    fun isLapsing(server: ServerName): Boolean = server in lapsing
+    fun isLapsing(server: ServerName): Boolean = server in missingSince
 
     /** Whether [server] may get work at [now]; one that is leaving may for a moment, since its keys are on the move. */
     fun mayStillServe(server: ServerName, now: Long): Boolean {
         val entry = entries[server] ?: return false
-        val draining = drainingSince[server]?.let { now - it >= DRAINING_MILLISECONDS } ?: false
-        val evacuated = evacuatedSince[entry.domain]?.let { now - it >= EVACUATED_MILLISECONDS } ?: false
-        return !draining && !evacuated
+        return !isOver(drainingSince[server], LEAVING_MILLISECONDS, now) &&
+            !isOver(missingSince[server], LEAVING_MILLISECONDS, now) &&
+            !isOver(evacuatedSince[entry.domain], EVACUATED_MILLISECONDS, now)
     }
 
     /** Takes in at [now] whether [domain] is evacuated; true when that is news. */
@@ -60,7 +66,7 @@
 
     /** Takes in [entry] at [now]. */
     fun put(entry: BackendEntry, now: Long) {
-        lapsing.remove(entry.server)
+        missingSince.remove(entry.server)
         val drains = entry.state == ServerState.DRAINING
         if (drains) drainingSince.putIfAbsent(entry.server, now) else drainingSince.remove(entry.server)
         if (entries.put(entry.server, entry) != entry) changes++
@@ -69,16 +75,19 @@
     /** Takes in at [now] that the entry of [server] is gone; true when that counts at once, not [afterOutage]. */
     fun remove(server: ServerName, now: Long, afterOutage: Boolean = false): Boolean {
         val lapses = server in entries && afterOutage
-        if (lapses) lapsing.putIfAbsent(server, now + LAPSE_MILLISECONDS)
+        if (lapses) missingSince.putIfAbsent(server, now)
         return server in entries && !lapses && drop(server)
     }
 
     /** Drops what lapsed and did not come back by [now]. */
     fun expire(now: Long): List<ServerName> =
-        lapsing.filterValues { it <= now }.keys.toList().onEach(::drop)
+        missingSince.filterValues { isOver(it, LAPSE_MILLISECONDS, now) }.keys.toList().onEach(::drop)
+
+    private fun isOver(since: Long?, milliseconds: Long, now: Long): Boolean =
+        since != null && now - since >= milliseconds
 
     private fun drop(server: ServerName): Boolean {
-        lapsing.remove(server)
+        missingSince.remove(server)
         drainingSince.remove(server)
         changes++
         return entries.remove(server) != null
@@ -88,8 +97,8 @@
         /** Living servers register again within about two seconds of the table's return (platform's contract). */
         const val LAPSE_MILLISECONDS = 2_000L
 
-        /** A draining server may get work for two seconds after it said so (platform's bound); the rest is transit. */
-        const val DRAINING_MILLISECONDS = 1_500L
+        /** A server may get work for two seconds after it left or said so (platform's bound); the rest is transit. */
+        const val LEAVING_MILLISECONDS = 1_500L
 
         /**
          * An evacuated domain may get work for five seconds (platform's bound), of which an instance that has just
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/traffic/ServerDirectoryTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/traffic/ServerDirectoryTest.kt
@@ -33,6 +33,16 @@
         directory[name] shouldBe null
     }
 
+    test("a server whose entry is missing after an outage gets no work after a drain's time") {
+        val directory = ServerDirectory()
+        directory.put(entry, 0)
+        directory.remove(name, 10_500, afterOutage = true)
+        directory.usable(service, 11_999) shouldBe listOf(entry)
+        directory.usable(service, 12_000) shouldBe emptyList()
+        directory.put(entry, 12_100)
+        directory.usable(service, 12_100) shouldBe listOf(entry)
+    }
+
     test("a server that comes back stays") {
         val directory = ServerDirectory()
         directory.put(entry, 0)
@@ -45,19 +55,22 @@
     test("draining servers and evacuated domains get no new work") {
         val directory = ServerDirectory()
         directory.put(entry, 0)
-        directory.usable(service) shouldBe listOf(entry)
+        directory.usable(service, NOW) shouldBe listOf(entry)
         directory.evacuate(domain, active = true, 100) shouldBe true
-        directory.usable(service) shouldBe emptyList()
+        directory.usable(service, NOW) shouldBe emptyList()
         directory.evacuate(domain, active = false, 200) shouldBe true
-        directory.usable(service) shouldBe listOf(entry)
+        directory.usable(service, NOW) shouldBe listOf(entry)
         directory.put(entry.copy(state = ServerState.DRAINING), 500)
-        directory.usable(service) shouldBe emptyList()
+        directory.usable(service, NOW) shouldBe emptyList()
     }
 
     data class LeavingCase(val what: String, val leave: (ServerDirectory) -> Unit, val lastAt: Long)
 
     listOf(
         LeavingCase("that drains", { it.put(entry.copy(state = ServerState.DRAINING), 500) }, 1_999),
+        LeavingCase("whose entry is missing after an outage", { directory ->
+            directory.remove(name, 500, afterOutage = true)
+        }, 1_999),
         LeavingCase("of an evacuated domain", { it.evacuate(domain, active = true, 500) }, 2_299),
         LeavingCase("whose evacuation is told again", { directory ->
             listOf(500L, 1_500L).forEach { directory.evacuate(domain, active = true, it) }
@@ -82,3 +95,6 @@
         directory.mayStillServe(name, 5_000) shouldBe true
     }
 })
+
+/** A time at which nothing lapses. */
+private const val NOW = 600L
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
@@ -78,12 +78,15 @@
         seenChanges = changed
         pools.entries.removeAll { (_, held) -> now - held.usedAt > UNUSED_MILLISECONDS && held.pool.running == 0 }
         pools.forEach { (name, held) ->
-            val leaving = name.server.isNotEmpty() && state.directory.isLeaving(ServerName(name.server))
-            if (stale || leaving) update(name, held.pool, now)
+            if (stale || hasLeaving(name)) update(name, held.pool, now)
             if (held.pool.queued > 0 || held.pool.running > 0) deliver(held.pool.tick(now))
         }
     }
 
+    /** Whether time alone may take servers out of a pool. */
+    private fun hasLeaving(name: PoolName): Boolean =
+        if (name.server.isEmpty()) state.directory.hasLapsing else state.directory.isLeaving(ServerName(name.server))
+
     private fun update(name: PoolName, pool: Pool, now: Long) {
         val service = ServiceName(name.service)
         val coldRate = state.configuration?.services?.get(service)?.coldRequestsPerSecond
@@ -93,7 +96,7 @@
     private fun entries(name: PoolName, service: ServiceName, now: Long): List<BackendEntry> {
         val directory = state.directory
         if (name.server.isEmpty()) {
-            return directory.usable(service).filter { it.domain == FailureDomainName(name.domain) }
+            return directory.usable(service, now).filter { it.domain == FailureDomainName(name.domain) }
         }
         val entry = directory[ServerName(name.server)]?.takeIf { it.service == service }
         return listOfNotNull(entry?.takeIf { directory.mayStillServe(it.server, now) })
