Date a reader's resignation by when it could not read, and weigh it against own calls

A resignation now says how long ago its sender could not read, and counts for that time. One that falls into a time in which this instance's own calls were answered does not speak of the table. The log line of a resignation has its age.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/placement/TableOutage.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/placement/TableOutage.kt
@@ -1,6 +1,8 @@
 /*
  * Whether the platform's table was out a moment ago, as far as one instance can tell: its own call failed, or several
- * instances said that theirs do. One instance that can't read proves nothing: it may be cut off by itself.
+ * instances could not read at about the same time. One instance that can't read proves nothing, since it may be cut off
+ * by itself, and neither do several whose calls failed while this one's were answered. What others say counts for the
+ * time that it is about, not for the time at which it is heard.
  */
 package rhubarbspool.placement
 
@@ -9,22 +11,36 @@
 /** Remembers failures of the table. All times are monotonic milliseconds. */
 class TableOutage {
     private var failedAt = LONG_AGO
-    private val resignedAt = HashMap<InstanceName, Long>()
+    private var answeredFrom: Long? = null
+    private var answeredTo = LONG_AGO
+    private val troubledAt = HashMap<InstanceName, Long>()
+
+    /** A call of this instance that was sent at [sentAt] was answered. */
+    fun answered(sentAt: Long) {
+        answeredFrom = answeredFrom ?: sentAt
+        answeredTo = maxOf(answeredTo, sentAt)
+    }
 
     /** A call of this instance failed at [now]. */
     fun failed(now: Long) {
         failedAt = now
+        answeredFrom = null
     }
 
-    /** [instance] said at [now] that it can't read the table. */
-    fun resigned(instance: InstanceName, now: Long) {
-        resignedAt.values.removeAll { now - it > TOGETHER_MILLISECONDS }
-        resignedAt[instance] = now
-        if (resignedAt.size > 1) failedAt = now
+    /** [instance] says that it could not read the table, the last time at [lastAt]. */
+    fun resigned(instance: InstanceName, lastAt: Long) {
+        troubledAt[instance] = lastAt
     }
 
     /** Whether entries that are missing at [now] may have lapsed in an outage. */
-    fun isRecent(now: Long): Boolean = now - failedAt < RECENT_MILLISECONDS
+    fun isRecent(now: Long): Boolean = now - failedAt < RECENT_MILLISECONDS || isReported(now)
+
+    private fun isReported(now: Long): Boolean {
+        val latest = troubledAt.values.filterNot(::wasAnswered).sortedDescending()
+        return latest.size > 1 && now - latest[0] < RECENT_MILLISECONDS && latest[0] - latest[1] < TOGETHER_MILLISECONDS
+    }
+
+    private fun wasAnswered(at: Long): Boolean = answeredFrom?.let { at in it..answeredTo } ?: false
 
     private companion object {
         const val LONG_AGO = Long.MIN_VALUE / 2
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
@@ -1,7 +1,7 @@
 /*
  * The backend servers that this instance knows of, and which of them take work. Entries that lapse around an outage of
- * the platform's table are kept for a moment after its return, since living servers register again then. An instance may
- * be wrong about the outage, so a server without an entry gets work no longer than one that drains.
+ * the platform's table are kept for a moment after its return, since living servers register again then. An instance
+ * may be wrong about the outage, so a server without an entry gets work no longer than one that drains.
  */
 package rhubarbspool.traffic
 
@@ -83,9 +83,6 @@
     fun expire(now: Long): List<ServerName> =
         missingSince.filterValues { isOver(it, LAPSE_MILLISECONDS, now) }.keys.toList().onEach(::drop)
 
-    private fun isOver(since: Long?, milliseconds: Long, now: Long): Boolean =
-        since != null && now - since >= milliseconds
-
     private fun drop(server: ServerName): Boolean {
         missingSince.remove(server)
         drainingSince.remove(server)
@@ -107,3 +104,5 @@
         const val EVACUATED_MILLISECONDS = 1_800L
     }
 }
+
+private fun isOver(since: Long?, milliseconds: Long, now: Long): Boolean = since != null && now - since >= milliseconds
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -97,19 +97,13 @@
 
     private fun tick() {
         val now = context.clock()
-        expire(now)
+        if (state.expire(now)) flow.learned()
         pools.tick(now)
         hub.tick(now)
         source.tick(now)
         coordinator.tick()
     }
 
-    private fun expire(now: Long) {
-        val lapsed = state.directory.expire(now)
-        lapsed.forEach { log.belief("server", "server" to it, "state" to "lapsed") }
-        if (lapsed.isNotEmpty()) learned()
-    }
-
     private fun sweep() {
         links.closeIdle()
         state.configuration?.let { callers.closeIdle(it.bounds.idleMilliseconds * IDLE_PERCENT / PERCENT) }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -43,6 +43,13 @@
         return news.isNotEmpty()
     }
 
+    /** Drops servers that lapsed and did not come back by [now]; true when there were any. */
+    fun expire(now: Long): Boolean {
+        val lapsed = directory.expire(now)
+        lapsed.forEach { log.belief("server", "server" to it, "state" to "lapsed") }
+        return lapsed.isNotEmpty()
+    }
+
     private fun merge(item: FeedItem, page: FeedPage, now: Long) = when (item) {
         is FeedItem.Configuration -> adopt(item.configuration)
         is FeedItem.Evacuation -> evacuate(item, now)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -94,6 +94,7 @@
         failingSince?.let { context.log.event("table.regained", "feed" to feed, "after" to now - it) }
         failingSince = null
         failures = 0
+        outage.answered(startedAt)
         val quiet = page.rows.isEmpty()
         received(feed, page.copy(afterOutage = outage.isRecent(now)))
         if (page.complete) scannedAt = now
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
@@ -68,9 +68,17 @@
 @Serializable
 internal data class SubscribeMessage(val known: NewsMessage)
 
-/** Rows of [feed]; [resigns] when the sender can't read the table itself. */
+/**
+ * Rows of [feed]; [resigns] when another instance is to be asked, since the sender could not read the table
+ * [troubledAgo] milliseconds before.
+ */
 @Serializable
-internal data class RowsMessage(val feed: Feed? = null, val page: FeedPage? = null, val resigns: Boolean = false)
+internal data class RowsMessage(
+    val feed: Feed? = null,
+    val page: FeedPage? = null,
+    val resigns: Boolean = false,
+    val troubledAgo: Long = 0,
+)
 
 /**
  * What the sender saw of a sharded service since its last report.
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -23,9 +23,10 @@
     private val choice = ReaderChoice()
 
     /** Instances that learn from this one. */
-    val subscribers = RowSubscribers(context, transport, outage) { choice.isPassedOver(self, context.clock()) }
+    val subscribers = RowSubscribers(context, transport, outage, ::troubledAgo)
     private var subscription: Subscription? = null
     private val startedAt = context.clock()
+    private var troubledAt = startedAt
     private var lookedAt = startedAt
 
     /** Begins with the rows that the instances share: they tell who else reads. */
@@ -38,7 +39,7 @@
     fun tick(now: Long) {
         if (!isIntroduced(now)) return look(now, INTRODUCED_MILLISECONDS)
         resignIfTroubled(now)
-        subscription?.takeIf { it.isSilent(now) }?.let { lost(it, resigned = false) }
+        subscription?.takeIf { it.isSilent(now) }?.let { lost(it, troubledAgo = null) }
         val reader = choice.choose(readers(context), now) ?: self
         val reads = reader == self || !subscribers.isEmpty
         followers.values.forEach { if (reads) it.start() else it.stop() }
@@ -53,14 +54,21 @@
         subscribers.tell(feed, page)
     }
 
-    override fun lost(subscription: Subscription, resigned: Boolean) {
+    override fun lost(subscription: Subscription, troubledAgo: Long?) {
         val now = context.clock()
         choice.passOver(subscription.reader, now)
         val wasOut = outage.isRecent(now)
-        if (resigned) outage.resigned(subscription.reader, now)
-        if (outage.isRecent(now) && !wasOut) context.log.belief("table", "state" to "out", "cause" to "readers resigned")
-        val state = if (resigned) "resigned" else "lost"
-        context.log.belief("reader", "instance" to subscription.reader, "state" to state)
+        troubledAgo?.let { outage.resigned(subscription.reader, now - it) }
+        if (outage.isRecent(now) && !wasOut) {
+            context.log.belief("table", "state" to "out", "cause" to "several readers resigned")
+        }
+        val state = if (troubledAgo == null) "lost" else "resigned"
+        context.log.belief(
+            "reader",
+            "instance" to subscription.reader,
+            "state" to state,
+            "troubledAgo" to troubledAgo
+        )
         subscription.end()
         if (this.subscription === subscription) this.subscription = null
     }
@@ -80,6 +88,7 @@
     /** An instance that can't read stays out until it has read again. */
     private fun resignIfTroubled(now: Long) {
         val since = followers.values.mapNotNull { it.troubledSince }.minOrNull() ?: now
+        if (since < now) troubledAt = now
         if (now - since <= TROUBLED_MILLISECONDS) return
         val isNews = !choice.isPassedOver(self, now)
         choice.passOver(self, now)
@@ -88,6 +97,12 @@
         subscribers.resign()
     }
 
+    /** How long ago this instance could not read; null when others may rely on it. */
+    private fun troubledAgo(): Long? {
+        val now = context.clock()
+        return (now - troubledAt).takeIf { choice.isPassedOver(self, now) }
+    }
+
     private fun subscribe(reader: InstanceName) {
         subscription?.end()
         subscription = null
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
@@ -6,12 +6,12 @@
 import io.netty.channel.Channel
 import rhubarbspool.placement.TableOutage
 
-/** Passes rows on; [resigned] says whether this instance can't read the table. */
+/** Passes rows on; [troubledAgo] says how long ago this instance could not read, null while it may be relied on. */
 internal class RowSubscribers(
     private val context: ProcessContext,
     private val transport: PeerTransport,
     private val outage: TableOutage,
-    private val resigned: () -> Boolean,
+    private val troubledAgo: () -> Long?,
 ) {
     private val channels = HashSet<Channel>()
 
@@ -33,7 +33,7 @@
                 transport.send(channel, PeerMessage(rows = RowsMessage(feed, changes)))
             }
         }
-        if (resigned()) transport.send(channel, RESIGNATION)
+        troubledAgo()?.let { transport.send(channel, resignation(it)) }
     }
 
     /** Forgets [channel]. */
@@ -47,9 +47,7 @@
     }
 
     /** Says that this instance can't read the table. */
-    fun resign() = channels.forEach { transport.send(it, RESIGNATION) }
+    fun resign() = channels.forEach { transport.send(it, resignation(0)) }
 
-    private companion object {
-        val RESIGNATION = PeerMessage(rows = RowsMessage(resigns = true))
-    }
+    private fun resignation(ago: Long) = PeerMessage(rows = RowsMessage(resigns = true, troubledAgo = ago))
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
@@ -11,8 +11,11 @@
     /** [page] of [feed] was told. */
     fun told(feed: Feed, page: FeedPage)
 
-    /** The reader of [subscription] can't be reached, or says that it can't read any more when it [resigned]. */
-    fun lost(subscription: Subscription, resigned: Boolean)
+    /**
+     * The reader of [subscription] can't be reached, or has resigned because it could not read [troubledAgo]
+     * milliseconds before.
+     */
+    fun lost(subscription: Subscription, troubledAgo: Long?)
 }
 
 /** News that [reader] passes on, from when it was asked. */
@@ -57,13 +60,13 @@
         val rows = message.rows
         when {
             rows == null || ended -> Unit
-            rows.resigns -> events.lost(this, resigned = true)
+            rows.resigns -> events.lost(this, rows.troubledAgo)
             rows.feed != null && rows.page != null -> events.told(rows.feed, rows.page)
         }
     }
 
     override fun closed() {
-        if (!ended) events.lost(this, resigned = false)
+        if (!ended) events.lost(this, troubledAgo = null)
     }
 
     private companion object {
