Count time for rows that instances pass on from when they were read

An instance that takes over from a lost reader, or joins one, gets rows that others may have known for seconds. It counted the time that a leaving server may still get work from their arrival, and judged whether a removal may have lapsed by what the sender saw of the table at that moment, not when it read the removal.

Rows that are passed on now carry how long ago an instance read them, and whether that was shortly after the table had failed. PassedOnRowsTest: four of its five tests fail when the age is left out.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -38,7 +38,7 @@
     /** Takes in [page] of [feed] at [now]; true when it brought news. */
     fun merge(feed: Feed, page: FeedPage, now: Long): Boolean {
         val news = rows(feed).merge(page, now)
-        news.mapNotNull { decoder.decode(feed, it, now) }.forEach { merge(it, page, now) }
+        news.forEach { row -> decoder.decode(feed, row, now)?.let { merge(it, row.afterOutage, now - row.age) } }
         changes++
         return news.isNotEmpty()
     }
@@ -50,10 +50,11 @@
         return lapsed.isNotEmpty()
     }
 
-    private fun merge(item: FeedItem, page: FeedPage, now: Long) = when (item) {
+    /** Takes in [item], which an instance read at [readAt]. */
+    private fun merge(item: FeedItem, afterOutage: Boolean, readAt: Long) = when (item) {
         is FeedItem.Configuration -> adopt(item.configuration)
-        is FeedItem.Evacuation -> evacuate(item, now)
-        is FeedItem.Server -> server(item, page.afterOutage, now)
+        is FeedItem.Evacuation -> evacuate(item, readAt)
+        is FeedItem.Server -> server(item, afterOutage, readAt)
         is FeedItem.Shared -> shared.merge(item)
     }
 
@@ -71,18 +72,18 @@
         )
     }
 
-    private fun evacuate(item: FeedItem.Evacuation, now: Long) {
-        val changed = directory.evacuate(item.domain, item.active, now)
+    private fun evacuate(item: FeedItem.Evacuation, readAt: Long) {
+        val changed = directory.evacuate(item.domain, item.active, readAt)
         if (changed) log.belief("evacuation", "domain" to item.domain, "active" to item.active)
     }
 
-    private fun server(item: FeedItem.Server, afterOutage: Boolean, now: Long) {
+    private fun server(item: FeedItem.Server, afterOutage: Boolean, readAt: Long) {
         val before = directory[item.server]
         val lapsed = directory.isLapsing(item.server)
         if (item.entry != null) {
-            directory.put(item.entry, now)
+            directory.put(item.entry, readAt)
         } else {
-            directory.remove(item.server, now, afterOutage)
+            directory.remove(item.server, readAt, afterOutage)
         }
         val after = directory[item.server]
         val lapses = directory.isLapsing(item.server)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedRows.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedRows.kt
@@ -5,8 +5,10 @@
 
 /** Rows of one feed. */
 internal class FeedRows {
+    private class Known(val row: TableRow, val readAt: Long)
+
     private val missingSince = HashMap<String, Long>()
-    private val rows = LinkedHashMap<String, TableRow>()
+    private val rows = LinkedHashMap<String, Known>()
 
     /** Version of the table up to which all rows are known; null before they were read. */
     var version: Long? = null
@@ -16,16 +18,19 @@
     var newest: Long = 0
         private set
 
-    /** All rows; null before they were read. */
-    fun snapshot(): FeedPage? = version?.let { FeedPage(it, rows.values.toList(), complete = true) }
+    /** All rows as they are passed on at [now]; null before they were read. */
+    fun snapshot(now: Long): FeedPage? = version?.let { version ->
+        FeedPage(version, rows.values.map { it.row.copy(age = now - it.readAt) }, complete = true)
+    }
 
     /** Takes in [page]; returns the rows that are news, with those that are missing from a complete page as removed. */
     fun merge(page: FeedPage, now: Long): List<TableRow> {
-        val news = page.rows.filter { row -> rows[row.key]?.let { it.version < row.version } ?: true }
+        val news = page.rows.filter { row -> rows[row.key]?.let { it.row.version < row.version } ?: true }
+            .map { it.copy(afterOutage = it.afterOutage || page.afterOutage) }
         val missing = if (page.complete && page.version >= (version ?: 0)) missing(page, now) else emptyList()
-        news.forEach { rows[it.key] = it }
+        news.forEach { rows[it.key] = Known(it, now - it.age) }
         missing.forEach { rows.remove(it.key) }
-        rows.values.removeAll { it.value == null && page.version - it.version > FORGOTTEN_VERSIONS }
+        rows.values.removeAll { it.row.value == null && page.version - it.row.version > FORGOTTEN_VERSIONS }
         newest = maxOf(newest, page.rows.maxOfOrNull { it.version } ?: 0)
         version = maxOf(version ?: 0, page.version)
         return news + missing
@@ -38,13 +43,13 @@
     private fun missing(page: FeedPage, now: Long): List<TableRow> {
         val present = page.rows.mapTo(HashSet()) { it.key }
         val newestRead = page.rows.maxOfOrNull { it.version } ?: 0
-        val absent = rows.values.filter { it.key !in present && it.value != null }
+        val absent = rows.values.map { it.row }.filter { it.key !in present && it.value != null }
         missingSince.keys.retainAll(absent.mapTo(HashSet()) { it.key })
         val gone = absent.filter { row ->
             val since = missingSince.getOrPut(row.key) { now }
             row.version < newestRead || now - since >= OLD_READ_MILLISECONDS
         }
-        return gone.map { it.copy(version = page.version, value = null) }
+        return gone.map { TableRow(it.key, page.version, afterOutage = page.afterOutage) }
     }
 
     private companion object {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
@@ -40,15 +40,26 @@
     data class Shared(val key: String, val version: Long, val value: String?) : FeedItem
 }
 
-/** A row as the table holds it; [value] is null when it was removed or can't be read. */
+/**
+ * A row as the table holds it; [value] is null when it was removed or can't be read.
+ *
+ * @property age milliseconds since an instance read it from the table.
+ * @property afterOutage whether that was shortly after the table had failed.
+ */
 @Serializable
-data class TableRow(val key: String, val version: Long, val value: String? = null)
+data class TableRow(
+    val key: String,
+    val version: Long,
+    val value: String? = null,
+    val age: Long = 0,
+    val afterOutage: Boolean = false,
+)
 
 /**
  * Rows of a feed up to [version].
  *
  * @property complete whether they are all rows and not only the changed ones.
- * @property afterOutage whether they were read shortly after the table had failed.
+ * @property afterOutage whether they were read shortly after the table had failed, also where the rows do not say so.
  */
 @Serializable
 data class FeedPage(
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -23,7 +23,7 @@
     private val choice = ReaderChoice()
 
     /** Instances that learn from this one. */
-    val subscribers = RowSubscribers(context, transport, outage, ::troubledAgo)
+    val subscribers = RowSubscribers(context, transport, ::troubledAgo)
     private var subscription: Subscription? = null
     private val startedAt = context.clock()
     private var troubledAt = startedAt
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
@@ -4,13 +4,11 @@
 package rhubarbspool.entry
 
 import io.netty.channel.Channel
-import rhubarbspool.placement.TableOutage
 
 /** Passes rows on; [troubledAgo] says how long ago this instance could not read, null while it may be relied on. */
 internal class RowSubscribers(
     private val context: ProcessContext,
     private val transport: PeerTransport,
-    private val outage: TableOutage,
     private val troubledAgo: () -> Long?,
 ) {
     private val channels = HashSet<Channel>()
@@ -23,13 +21,9 @@
         channels += channel
         Feed.entries.forEach { feed ->
             val known = message.known.of(feed)
-            val page = context.state.rows(feed).snapshot()
+            val page = context.state.rows(feed).snapshot(context.clock())
             if (page != null && page.version > known) {
-                val changes = page.copy(
-                    rows = page.rows.filter { it.version > known },
-                    complete = known == 0L,
-                    afterOutage = outage.isRecent(context.clock()),
-                )
+                val changes = page.copy(rows = page.rows.filter { it.version > known }, complete = known == 0L)
                 transport.send(channel, PeerMessage(rows = RowsMessage(feed, changes)))
             }
         }
--- /dev/null
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/PassedOnRowsTest.kt
@@ -0,0 +1,61 @@
+/*
+ * Rows that reach an instance over others count from when they were read from the table, not from when they arrive.
+ */
+package rhubarbspool.entry
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import rhubarbspool.model.Address
+import rhubarbspool.model.FailureDomainName
+import rhubarbspool.model.ServerName
+import rhubarbspool.model.ServiceName
+import rhubarbspool.traffic.BackendEntry
+import rhubarbspool.traffic.ServerState
+
+class PassedOnRowsTest : FunSpec({
+    val name = ServerName("s")
+    val domain = FailureDomainName("d")
+    val decoder = RowDecoder { feed, row, now ->
+        val entry = row.value?.let {
+            val state = ServerState.valueOf(it)
+            BackendEntry(name, 1, ServiceName("x"), Address("10.0.0.1", 1), domain, 2, state, now)
+        }
+        if (feed == Feed.OPERATOR) FeedItem.Evacuation(domain, row.key == "s") else FeedItem.Server(name, entry)
+    }
+
+    fun instance() = EntryState(decoder, DecisionLog { 0 })
+
+    data class LeavingCase(val what: String, val feed: Feed, val value: String?, val lastAt: Long, val outage: Boolean)
+
+    listOf(
+        LeavingCase("a server that drains", Feed.SERVERS, "DRAINING", 2_499, outage = false),
+        LeavingCase("a removed server", Feed.SERVERS, null, 0, outage = false),
+        LeavingCase("a server that may have lapsed", Feed.SERVERS, null, 2_499, outage = true),
+        LeavingCase("a server of an evacuated domain", Feed.OPERATOR, null, 2_799, outage = false),
+    ).forEach { case ->
+        test("${case.what} gets work for as long as its reader gives it any") {
+            val ready = FeedPage(1, listOf(TableRow("s", 1, "READY")), complete = true)
+            val change = FeedPage(2, listOf(TableRow("s", 2, case.value)), complete = false, afterOutage = case.outage)
+            val reader = instance()
+            val follower = instance()
+            listOf(reader, follower).forEach { it.merge(Feed.SERVERS, ready, 0) }
+            reader.merge(case.feed, change, 1_000)
+            val passedOn = requireNotNull(reader.rows(case.feed).snapshot(1_800)).copy(complete = false)
+            follower.merge(case.feed, passedOn, 1_800)
+            listOf(1_800L, case.lastAt, case.lastAt + 1).filter { it >= 1_800 }.forEach { now ->
+                val expected = now <= case.lastAt
+                listOf(reader, follower).map { it.directory.mayStillServe(name, now) } shouldBe List(2) { expected }
+            }
+        }
+    }
+
+    test("a row that is told on and on has the age of its reading") {
+        val instances = List(3) { instance() }
+        instances[0].merge(Feed.SERVERS, FeedPage(1, listOf(TableRow("s", 1, "READY")), complete = true), 1_000)
+        listOf(1_300L, 1_700L).forEachIndexed { index, now ->
+            val page = requireNotNull(instances[index].rows(Feed.SERVERS).snapshot(now))
+            instances[index + 1].merge(Feed.SERVERS, page, now)
+        }
+        instances[2].rows(Feed.SERVERS).snapshot(2_000)?.rows?.single()?.age shouldBe 1_000
+    }
+})
