Pass on to new subscribers that rows went missing

A row that a reader finds missing in a complete read has no deletion of its own in the feed.

Who subscribes now gets all rows if any went missing after what it knows. PassedOnRowsTest has the cases; two of the three fail without the change.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedRows.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedRows.kt
@@ -10,6 +10,9 @@
     private val missingSince = HashMap<String, Long>()
     private val rows = LinkedHashMap<String, Known>()
 
+    /** Version of the table at which rows were last found missing; a first read counts as one. */
+    private var missedAt: Long = FIRST_READ
+
     /** Version of the table up to which all rows are known; null before they were read. */
     var version: Long? = null
         private set
@@ -18,9 +21,14 @@
     var newest: Long = 0
         private set
 
-    /** All rows as they are passed on at [now]; null before they were read. */
-    fun snapshot(now: Long): FeedPage? = version?.let { version ->
-        FeedPage(version, rows.values.map { it.row.copy(age = now - it.readAt) }, complete = true)
+    /**
+     * What is passed on at [now] to an instance whose newest row has version [known]; null when there is nothing. Rows
+     * that went missing have no version of their own, so they only show in a complete page.
+     */
+    fun changesAfter(known: Long, now: Long): FeedPage? = version?.takeIf { it > known }?.let { current ->
+        val complete = known < missedAt
+        val told = rows.values.filter { complete || it.row.version > known }
+        FeedPage(current, told.map { it.row.copy(age = now - it.readAt) }, complete)
     }
 
     /** Takes in [page]; returns the rows that are news, with those that are missing from a complete page as removed. */
@@ -30,6 +38,7 @@
         val missing = if (page.complete && page.version >= (version ?: 0)) missing(page, now) else emptyList()
         news.forEach { rows[it.key] = Known(it, now - it.age) }
         missing.forEach { rows.remove(it.key) }
+        if (missing.isNotEmpty()) missedAt = page.version
         rows.values.removeAll { it.row.value == null && page.version - it.row.version > FORGOTTEN_VERSIONS }
         newest = maxOf(newest, page.rows.maxOfOrNull { it.version } ?: 0)
         version = maxOf(version ?: 0, page.version)
@@ -53,6 +62,9 @@
     }
 
     private companion object {
+        /** Above the version of an instance that knows no row, and below that of any row. */
+        const val FIRST_READ = 1L
+
         /** Reads are at most so old. */
         const val OLD_READ_MILLISECONDS = 7_000L
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSubscribers.kt
@@ -20,12 +20,8 @@
     fun add(channel: Channel, message: SubscribeMessage) {
         channels += channel
         Feed.entries.forEach { feed ->
-            val known = message.known.of(feed)
-            val page = context.state.rows(feed).snapshot(context.clock())
-            if (page != null && page.version > known) {
-                val changes = page.copy(rows = page.rows.filter { it.version > known }, complete = known == 0L)
-                transport.send(channel, PeerMessage(rows = RowsMessage(feed, changes)))
-            }
+            val changes = context.state.rows(feed).changesAfter(message.known.of(feed), context.clock())
+            changes?.let { transport.send(channel, PeerMessage(rows = RowsMessage(feed, it))) }
         }
         troubledAgo()?.let { transport.send(channel, resignation(it)) }
     }
--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/PassedOnRowsTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/PassedOnRowsTest.kt
@@ -40,7 +40,7 @@
             val follower = instance()
             listOf(reader, follower).forEach { it.merge(Feed.SERVERS, ready, 0) }
             reader.merge(case.feed, change, 1_000)
-            val passedOn = requireNotNull(reader.rows(case.feed).snapshot(1_800)).copy(complete = false)
+            val passedOn = requireNotNull(reader.rows(case.feed).changesAfter(1, 1_800))
             follower.merge(case.feed, passedOn, 1_800)
             listOf(1_800L, case.lastAt, case.lastAt + 1).filter { it >= 1_800 }.forEach { now ->
                 val expected = now <= case.lastAt
@@ -49,13 +49,34 @@
         }
     }
 
+    data class MissingCase(val what: String, val known: Long)
+
+    listOf(
+        MissingCase("knows the other rows", 3),
+        MissingCase("knows older rows", 2),
+        MissingCase("knows nothing", 0),
+    ).forEach { case ->
+        test("an instance that ${case.what} learns of a removal that its reader only saw in a complete read") {
+            val rows = listOf("r" to 1L, "s" to 2L, "t" to 3L).map { (key, version) -> TableRow(key, version, "READY") }
+            val reader = FeedRows()
+            val follower = FeedRows()
+            reader.merge(FeedPage(3, rows, complete = true), 0)
+            follower.merge(FeedPage(case.known, rows.filter { it.version <= case.known }, complete = true), 0)
+            reader.merge(FeedPage(5, rows.filter { it.key != "s" }, complete = true), 1_000)
+            val passedOn = requireNotNull(reader.changesAfter(follower.newest, 1_500))
+            follower.merge(passedOn, 1_500)
+            val known = requireNotNull(follower.changesAfter(0, 10_000)).rows.filter { it.value != null }
+            known.map { it.key }.toSet() shouldBe setOf("r", "t")
+        }
+    }
+
     test("a row that is told on and on has the age of its reading") {
         val instances = List(3) { instance() }
         instances[0].merge(Feed.SERVERS, FeedPage(1, listOf(TableRow("s", 1, "READY")), complete = true), 1_000)
         listOf(1_300L, 1_700L).forEachIndexed { index, now ->
-            val page = requireNotNull(instances[index].rows(Feed.SERVERS).snapshot(now))
+            val page = requireNotNull(instances[index].rows(Feed.SERVERS).changesAfter(0, now))
             instances[index + 1].merge(Feed.SERVERS, page, now)
         }
-        instances[2].rows(Feed.SERVERS).snapshot(2_000)?.rows?.single()?.age shouldBe 1_000
+        instances[2].rows(Feed.SERVERS).changesAfter(0, 2_000)?.rows?.single()?.age shouldBe 1_000
     }
 })
