--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedRows.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedRows.kt
@@ -5,8 +5,13 @@
 
 /** Rows of one feed. */
 internal class FeedRows {
+    private class Known(val row: TableRow, val readAt: Long)
+
     private val missingSince = HashMap<String, Long>()
-    private val rows = LinkedHashMap<String, TableRow>()
+    private val rows = LinkedHashMap<String, Known>()
+
+    /** Version of the table at which rows were last found missing; a first read counts as one. */
+    private var missedAt: Long = FIRST_READ
 
     /** Version of the table up to which all rows are known; null before they were read. */
     var version: Long? = null
@@ -16,16 +21,25 @@
     var newest: Long = 0
         private set
 
-    /** All rows; null before they were read. */
-    fun snapshot(): FeedPage? = version?.let { FeedPage(it, rows.values.toList(), complete = true) }
+    /**
+     * What is passed on at [now] to an instance whose newest row has version [known]; null when there is nothing. Rows
+     * that went missing have no version of their own, so they only show in a complete page.
+     */
+    fun changesAfter(known: Long, now: Long): FeedPage? = version?.takeIf { it > known }?.let { current ->
+        val complete = known < missedAt
+        val told = rows.values.filter { complete || it.row.version > known }
+        FeedPage(current, told.map { it.row.copy(age = now - it.readAt) }, complete)
+    }
 
     /** Takes in [page]; returns the rows that are news, with those that are missing from a complete page as removed. */
     fun merge(page: FeedPage, now: Long): List<TableRow> {
-        val news = page.rows.filter { row -> rows[row.key]?.let { it.version < row.version } ?: true }
+        val news = page.rows.filter { row -> rows[row.key]?.let { it.row.version < row.version } ?: true }
+            .map { it.copy(afterOutage = it.afterOutage || page.afterOutage) }
         val missing = if (page.complete && page.version >= (version ?: 0)) missing(page, now) else emptyList()
-        news.forEach { rows[it.key] = it }
+        news.forEach { rows[it.key] = Known(it, now - it.age) }
         missing.forEach { rows.remove(it.key) }
-        rows.values.removeAll { it.value == null && page.version - it.version > FORGOTTEN_VERSIONS }
+        if (missing.isNotEmpty()) missedAt = page.version
+        rows.values.removeAll { it.row.value == null && page.version - it.row.version > FORGOTTEN_VERSIONS }
         newest = maxOf(newest, page.rows.maxOfOrNull { it.version } ?: 0)
         version = maxOf(version ?: 0, page.version)
         return news + missing
@@ -38,16 +52,19 @@
     private fun missing(page: FeedPage, now: Long): List<TableRow> {
         val present = page.rows.mapTo(HashSet()) { it.key }
         val newestRead = page.rows.maxOfOrNull { it.version } ?: 0
-        val absent = rows.values.filter { it.key !in present && it.value != null }
+        val absent = rows.values.map { it.row }.filter { it.key !in present && it.value != null }
         missingSince.keys.retainAll(absent.mapTo(HashSet()) { it.key })
         val gone = absent.filter { row ->
             val since = missingSince.getOrPut(row.key) { now }
             row.version < newestRead || now - since >= OLD_READ_MILLISECONDS
         }
-        return gone.map { it.copy(version = page.version, value = null) }
+        return gone.map { TableRow(it.key, page.version, afterOutage = page.afterOutage) }
     }
 
     private companion object {
+        /** Above the version of an instance that knows no row, and below that of any row. */
+        const val FIRST_READ = 1L
+
         /** Reads are at most so old. */
         const val OLD_READ_MILLISECONDS = 7_000L
 
