Cut off answers without end when their caller stops waiting

Once more than 128 KB had come, the answer was passed on with no time limit at all: a caller had no final answer, and of a booking whose caller had left the bytes went on to be read and dropped for ever. A booking that got no answer kept its connection the same way.

An answer that has begun is passed on for as long as its caller says that it waits, and then the connections to both sides are closed; a booking whose caller left keeps its deadline.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFacts.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFacts.kt
@@ -25,7 +25,10 @@
     val dueAt: Long = caller.arrivedAt + route.targetMilliseconds
 
     /** Until when the caller is kept waiting. */
-    val deadlineAt: Long = caller.arrivedAt + minOf(route.timeoutMilliseconds, callerTimeout())
+    val deadlineAt: Long = caller.arrivedAt + minOf(route.timeoutMilliseconds, callerTimeout() ?: Long.MAX_VALUE)
+
+    /** Until when the caller waits for the rest of an answer that has begun. */
+    val leavesAt: Long = callerTimeout()?.let { caller.arrivedAt + it } ?: deadlineAt
 
     /** The key, where the request has one. */
     val key: Int? = caller.headers.get(flow.names.key)?.toIntOrNull()?.takeIf { it in 0 until OwnershipDocument.KEYS }
@@ -61,6 +64,11 @@
         return entry?.takeIf { directory.mayStillServe(it.server, now) }
     }
 
-    private fun callerTimeout(): Long =
-        caller.headers.get(flow.names.timeout)?.toLongOrNull()?.coerceAtLeast(0) ?: Long.MAX_VALUE / 2
+    private fun callerTimeout(): Long? =
+        caller.headers.get(flow.names.timeout)?.toLongOrNull()?.coerceIn(0, LONGEST_TIMEOUT_MILLISECONDS)
+
+    private companion object {
+        /** A day; a caller that asks for more gets that. */
+        const val LONGEST_TIMEOUT_MILLISECONDS = 86_400_000L
+    }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestRun.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestRun.kt
@@ -84,8 +84,11 @@
         return again
     }
 
+    /** An answer that has begun is passed on while its caller waits; one without end is cut off then. */
     override fun streaming() {
         timer?.cancel(false)
+        val left = facts.leavesAt - flow.process.clock()
+        timer = flow.after(left + ANSWER_GRACE_MILLISECONDS) { call?.deadline() }
     }
 
     private fun tryAgain(cause: CallOutcome, delay: Long) {
@@ -108,11 +111,11 @@
         }
     }
 
-    /** A request that can't be repeated runs on, so that what it does is not cut in the middle. */
+    /** A request that can't be repeated runs on until its time is over, so that it is not cut in the middle. */
     private fun callerLeft() {
         val current = call
-        timer?.cancel(false)
         pause?.cancel(false)
+        if (current == null || facts.repeatable) timer?.cancel(false)
         if (current == null) search.withdraw() else if (facts.repeatable) current.close(CallOutcome.CANCELLED)
         end.callerLeft(if (current == null) "waiting" else "running")
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerCall.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerCall.kt
@@ -51,12 +51,16 @@
         exchange?.giveUp()
     }
 
-    /** No answer came until the deadline and a moment. */
+    /** No answer came until the deadline and a moment, or the rest of one until its caller stopped waiting. */
     fun deadline() {
-        if (permit.isEnded || streamed != null) return
+        if (permit.isEnded) return
         val kind = if (exchange == null) ErrorKind.DEADLINE_BEFORE_RUN else ErrorKind.DEADLINE_AFTER_RUN
         close(CallOutcome.BROKEN)
-        end.refuse(RequestError(kind, "${entry.server}", RETRY_MILLISECONDS))
+        if (streamed == null) {
+            end.refuse(RequestError(kind, "${entry.server}", RETRY_MILLISECONDS))
+        } else {
+            end.cut(entry.server, BreakCause.GIVEN_UP)
+        }
     }
 
     override fun whole(head: ServerHead, body: ByteBuf) {
