--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
@@ -8,7 +8,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -43,7 +42,11 @@
 )
 
 /** Sends requests; every answer is bounded in size and in time. */
-class HttpClient(private val group: EventLoopGroup, private val timeoutMilliseconds: Long) {
+class HttpClient(
+    private val group: EventLoopGroup,
+    private val timeoutMilliseconds: Long,
+    private val maximumAnswerBytes: Int = MAXIMUM_ANSWER_BYTES,
+) {
     private val idle = ConcurrentHashMap<Address, ArrayDeque<Channel>>()
 
     /** Sends [call] to [address]; fails with an exception when no whole answer came in time. */
@@ -84,7 +87,8 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAXIMUM_ANSWER_BYTES), Idle())
+                    val whole = HttpObjectAggregator(maximumAnswerBytes)
+                    channel.pipeline().addLast(UnaskedBytes(AnswerHandler::class.java), HttpClientCodec(), whole)
                 }
             })
             .connect(address.host, address.port)
@@ -126,20 +130,19 @@
         return request
     }
 
-    /** A connection that fails while no call is under way has nobody to tell. */
-    private class Idle : ChannelInboundHandlerAdapter() {
-        @Deprecated("Overrides a deprecated method of Netty")
-        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            if (context.pipeline().get(AnswerHandler::class.java) != null) context.fireExceptionCaught(cause)
-            context.close()
-        }
-    }
-
     private inner class AnswerHandler(
         private val address: Address,
         private val answer: CompletableFuture<HttpAnswer>,
     ) : SimpleChannelInboundHandler<FullHttpResponse>() {
         override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
+            val fault = response.decoderResult().cause()
+            when {
+                fault != null -> answer.completeExceptionally(IOException("$address sent no answer", fault))
+                response.status().code() >= FIRST_FINAL -> answered(context, response)
+            }
+        }
+
+        private fun answered(context: ChannelHandlerContext, response: FullHttpResponse) {
             val headers = response.headers().associate { it.key.lowercase() to it.value }
             val body = response.content().toString(Charsets.UTF_8)
             context.pipeline().remove(this)
@@ -163,6 +166,7 @@
     }
 
     private companion object {
+        const val FIRST_FINAL = 200
         const val MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
     }
 }
--- /dev/null
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/UnaskedBytes.kt
@@ -0,0 +1,28 @@
+/*
+ * Guards a client's connection between two calls: what comes then belongs to no call.
+ */
+package rhubarbspool.edge
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandler
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.util.ReferenceCountUtil
+
+/** Closes a connection that fails, or brings bytes, while it has no handler of type [call]. */
+class UnaskedBytes(private val call: Class<out ChannelHandler>) : ChannelInboundHandlerAdapter() {
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (message is ByteBuf && context.pipeline().get(call) == null) {
+            ReferenceCountUtil.release(message)
+            context.close()
+        } else {
+            context.fireChannelRead(message)
+        }
+    }
+
+    @Deprecated("Overrides a deprecated method of Netty")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (context.pipeline().get(call) != null) context.fireExceptionCaught(cause)
+        context.close()
+    }
+}
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerLinks.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerLinks.kt
@@ -5,17 +5,14 @@
 package rhubarbspool.entry
 
 import io.netty.bootstrap.Bootstrap
-import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
-import io.netty.util.ReferenceCountUtil
+import rhubarbspool.edge.UnaskedBytes
 import rhubarbspool.model.Address
 import java.util.ArrayDeque
 
@@ -77,7 +74,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(Unasked(), codec())
+                    channel.pipeline().addLast(UnaskedBytes(ServerExchange::class.java), codec())
                 }
             })
             .connect(address.host, address.port)
@@ -86,24 +83,6 @@
 
     private fun codec() = HttpClientCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES)
 
-    /** Closes a connection that fails, or brings bytes, while no request is under way. */
-    private class Unasked : ChannelInboundHandlerAdapter() {
-        override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (message is ByteBuf && context.pipeline().get(ServerExchange::class.java) == null) {
-                ReferenceCountUtil.release(message)
-                context.close()
-            } else {
-                context.fireChannelRead(message)
-            }
-        }
-
-        @Deprecated("Overrides a deprecated method of Netty")
-        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            if (context.pipeline().get(ServerExchange::class.java) != null) context.fireExceptionCaught(cause)
-            context.close()
-        }
-    }
-
     companion object {
         /** Age limit for requests that may be repeated: the server's own limit decides. */
         const val ANY_AGE: Long = Long.MAX_VALUE
