Let mutations run again, and tell those that did not

Since platform/ became a module the copies lacked its project file, Maven ended at once, and each mutation counted as noticed. The copies have it now, and a run without a failed test is told as not run.

--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -85,6 +85,11 @@
         "gate/CrashSuspects.kt", "crashesOf(fingerprint, now) >= QUARANTINE_CRASHES", "false", "GateFuzzTest", 400),
     "deadline-not-kept": (
         "gate/Dispatcher.kt", "it.deadlineAt <= now }", "it.deadlineAt <= now - 100 }", "GateFuzzTest", 400),
+    "missing-server-keeps-work": (
+        "traffic/ServerDirectory.kt",
+        " &&\n            !isOver(missingSince[it.server], LEAVING_MILLISECONDS, now)", "", "ServerDirectoryTest", 1),
+    "resignation-outweighs-own-calls": (
+        "placement/TableOutage.kt", ".filterNot(::wasAnswered)", "", "TableOutageTest", 1),
 }
 
 
@@ -94,7 +99,7 @@
     shutil.rmtree(copy, ignore_errors=True)
     copy.mkdir(parents=True)
     shutil.copy(ROOT / "pom.xml", copy)
-    for module in ROOT.glob("rhubarbspool-*"):
+    for module in [*ROOT.glob("rhubarbspool-*"), ROOT / "platform"]:
         (copy / module.name).mkdir()
         shutil.copy(module / "pom.xml", copy / module.name)
     shutil.copytree(ROOT / "rhubarbspool-core" / "src", copy / "rhubarbspool-core" / "src")
@@ -113,7 +118,9 @@
         return f"{name}: DOES NOT COMPILE {output[:300]}"
     seen = re.findall(r"^seed \d+:.*$|Expected .* but was .*$", output, re.M)
     failed = re.findall(r"^\[ERROR\] +(\w+Test\..*)$", output, re.M)
-    return f"{name}: noticed: {(seen or failed or ['?'])[0][:200]}"
+    if not seen and not failed:
+        return f"{name}: DID NOT RUN {output[:300]}"
+    return f"{name}: noticed: {(seen or failed)[0][:200]}"
 
 
 def main():
