Weigh resignations only against own calls that follow each other closely

An instance that does not read has few: one at its start and one after an outage, with nothing in between, counted as answers throughout, and entries that lapsed in the outage would have been dropped at once. Calls more than a second apart now begin anew; an outage in which entries lapse is longer.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/placement/TableOutage.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/placement/TableOutage.kt
@@ -11,20 +11,19 @@
 /** Remembers failures of the table. All times are monotonic milliseconds. */
 class TableOutage {
     private var failedAt = LONG_AGO
-    private var answeredFrom: Long? = null
-    private var answeredTo = LONG_AGO
+    private var answered: LongRange? = null
     private val troubledAt = HashMap<InstanceName, Long>()
 
     /** A call of this instance that was sent at [sentAt] was answered. */
     fun answered(sentAt: Long) {
-        answeredFrom = answeredFrom ?: sentAt
-        answeredTo = maxOf(answeredTo, sentAt)
+        val before = answered?.takeIf { sentAt - it.last <= GAP_MILLISECONDS }
+        answered = if (before == null) sentAt..sentAt else before.first..maxOf(before.last, sentAt)
     }
 
     /** A call of this instance failed at [now]. */
     fun failed(now: Long) {
         failedAt = now
-        answeredFrom = null
+        answered = null
     }
 
     /** [instance] says that it could not read the table, the last time at [lastAt]. */
@@ -40,7 +39,7 @@
         return latest.size > 1 && now - latest[0] < RECENT_MILLISECONDS && latest[0] - latest[1] < TOGETHER_MILLISECONDS
     }
 
-    private fun wasAnswered(at: Long): Boolean = answeredFrom?.let { at in it..answeredTo } ?: false
+    private fun wasAnswered(at: Long): Boolean = answered?.contains(at) ?: false
 
     private companion object {
         const val LONG_AGO = Long.MIN_VALUE / 2
@@ -48,6 +47,9 @@
         /** Living servers register again within about two seconds of the table's return (platform's contract). */
         const val RECENT_MILLISECONDS = 2_000L
 
+        /** An outage in which entries lapse lasts for two of the servers' heartbeats or more, which is longer. */
+        const val GAP_MILLISECONDS = 1_000L
+
         /** Readers that follow one another resign within about this time of each other in an outage. */
         const val TOGETHER_MILLISECONDS = 3_000L
     }
