--- a/rhubarbspool-router/src/test/kotlin/rhubarbspool/router/PlannedStopTest.kt
+++ b/rhubarbspool-router/src/test/kotlin/rhubarbspool/router/PlannedStopTest.kt
@@ -4,6 +4,7 @@
 package rhubarbspool.router
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import rhubarbspool.standins.ServerBehaviour
 import java.util.concurrent.CompletableFuture
@@ -41,7 +42,7 @@
                 CompletableFuture.supplyAsync { runCatching { socket.use { it.exchange(text) } }.getOrDefault("") }
             }.map { it.get() }
             stop.join()
-            answers.count { "HTTP/1.1 200" !in it } shouldBe 0
+            answers.filter { "HTTP/1.1 200" !in it }.shouldBeEmpty()
         }
     }
 })
--- a/rhubarbspool-router/src/test/kotlin/rhubarbspool/router/SystemTest.kt
+++ b/rhubarbspool-router/src/test/kotlin/rhubarbspool/router/SystemTest.kt
@@ -34,9 +34,9 @@
     WrongRequest("GET /ledger/boats/a HTTP/1.1\r\nhost: x\r\nexpect: nonsense\r\n\r\n", 417, "expectation_failed"),
 )
 
-/** The server that answered, or the error. */
+/** The server that answered, or the error with its detail. */
 private val HttpAnswer.origin: String
-    get() = headers["rhubarbspool-server"] ?: "$status ${headers["rhubarbspool-error"]}"
+    get() = headers["rhubarbspool-server"] ?: "$status ${headers["rhubarbspool-error"]}: $body"
 
 internal fun Socket.exchange(text: String): String {
     soTimeout = 5_000
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/LocalPlatform.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/LocalPlatform.kt
@@ -13,17 +13,21 @@
 import rhubarbspool.standins.FreeAddresses
 import java.util.concurrent.TimeUnit
 
-/** Listen addresses of an instance: for callers, for readiness checks, and for other instances. */
+/**
+ * Listen addresses of an instance: for callers, for readiness checks, and for other instances. Metrics are served on the
+ * port that follows the one of [peers].
+ */
 data class ListenAddresses(
     val callers: Address = LocalPlatform.freeAddress(),
     val ready: Address = LocalPlatform.freeAddress(),
-    val peers: Address = LocalPlatform.freeAddress(),
+    val peers: Address = FreeAddresses.next(following = 1),
 )
 
 /** Runs the store and the servers; [close] stops them. */
 class LocalPlatform : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
     private val channels = ArrayList<Channel>()
+    private val instances = ArrayList<AutoCloseable>()
 
     /** The platform's store. */
     val store = RowStoreStandIn()
@@ -96,7 +100,13 @@
         terms.bounds.retry_window=10s
     """.trimIndent()
 
+    /** Closes [instance], which uses this platform, before the store and the servers. */
+    fun closeFirst(instance: AutoCloseable) {
+        instances += instance
+    }
+
     override fun close() {
+        instances.forEach(AutoCloseable::close)
         channels.forEach { it.close().awaitUninterruptibly() }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly()
     }
