--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/TrafficConfiguration.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/TrafficConfiguration.kt
@@ -6,7 +6,7 @@
 
 import rhubarbspool.model.ServiceName
 
-/** Whether requests may be repeated, and how large their responses are. */
+/** Whether requests may be repeated, and how large they are. */
 enum class RequestKind(val repeatable: Boolean) {
     /** Short responses; may run more than once. */
     SAFE(true),
@@ -16,6 +16,9 @@
 
     /** Large responses; may run more than once. */
     DOWNLOAD(true),
+
+    /** Large request bodies; runs at most once for each attempt of a caller. */
+    UPLOAD(false),
 }
 
 /** A service that gets a share of a route's traffic in proportion to [weight]. */
