Size key ranges by the number of servers, and split hot ones

Ranges at the end of the queue kept the usual hold of 7 s and lapsed 7.9 s into the outage: keys 16384 and 18432 of the recorded log. Ruled out by that log: moves for load (no release by s1 or s2), a change of coordinator before the first refusals. Cause 2: up to 0.35 of a service's requests go to 60 or 200 neighbouring keys, which lay in two to four ranges of 64 keys, so that two to four servers had to serve them. Change: a service gets four ranges a server (128 to 1,024), loads are reported by key, and a range with more load than half a server is cut at keys into parts that can be moved one by one; a takeover joins neighbours of one owner again. The store counts as out after 1.2 s.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CallPlanner.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CallPlanner.kt
@@ -75,6 +75,7 @@
     private fun reclaim(range: Int, inputs: CallInputs): OwnershipEffect? {
         val owner = inputs.document.owner(range) ?: return null
         val fence = inputs.document.fences[range]
+        val keys = inputs.document.keys(range)
         val listed = inputs.view.isListed(owner)
         val now = inputs.now
         val hold = holds[range]
@@ -82,8 +83,8 @@
         return when {
             unconfirmed && !listed && hold.mayHoldUntil < now + HoldTimes.LONGEST_FENCING_HOLD -> null
             unconfirmed ->
-                recordCall(hold, now, OwnershipEffect.Grant(range, owner, fence + 1, HoldTimes.FENCING_HOLD, null))
-            else -> recordCall(hold, now, OwnershipEffect.Release(range, owner, fence + if (hold.fenced) 1 else 0))
+                recordCall(hold, now, OwnershipEffect.Grant(keys, owner, fence + 1, HoldTimes.FENCING_HOLD, null))
+            else -> recordCall(hold, now, OwnershipEffect.Release(keys, owner, fence + if (hold.fenced) 1 else 0))
         }
     }
 
@@ -95,7 +96,8 @@
         if (owner == null || hold.callInFlight || inputs.now - hold.grantedAt < interval) return null
         val duration = if (tableUnavailable) HoldTimes.LONGEST_GRANT else HoldTimes.HOLD
         val fence = inputs.document.fences[range] + if (hold.fenced) 1 else 0
-        return recordCall(hold, inputs.now, OwnershipEffect.Grant(range, owner, fence, duration, hold.handover))
+        val grant = OwnershipEffect.Grant(inputs.document.keys(range), owner, fence, duration, hold.handover)
+        return recordCall(hold, inputs.now, grant)
     }
 
     private fun recordCall(hold: RangeHold, now: Long, effect: OwnershipEffect): OwnershipEffect {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
@@ -112,7 +112,12 @@
         /** How long the row must be unchanged before another instance may write it: the lease plus a tenth. */
         const val TAKEOVER_MILLISECONDS: Long = 2_640
         private const val RENEWAL_INTERVAL_MILLISECONDS = 1_000L
-        private const val UNAVAILABLE_AFTER_MILLISECONDS = 1_500L
+
+        /**
+         * A renewal is answered within tens of milliseconds. What is left of the lease must suffice to renew all grants
+         * for the longest hold.
+         */
+        private const val UNAVAILABLE_AFTER_MILLISECONDS = 1_200L
         private const val WRITE_RETRY_MILLISECONDS = 250L
 
         /**
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/HoldTable.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/HoldTable.kt
@@ -7,16 +7,23 @@
 
 /** Holds of all [ranges]; unless [isNew], grants of an earlier coordinator may be in flight at [startedAt]. */
 internal class HoldTable(ranges: Int, startedAt: Long, isNew: Boolean) {
-    private val holds = Array(ranges) {
+    private var holds = List(ranges) {
         val earlierGrantsUntil = if (isNew) startedAt else startedAt + HoldTimes.LONGEST_HOLD
         RangeHold(earlierGrantsUntil, earlierGrantsUntil, if (isNew) RangeHold.NEVER else startedAt)
     }
 
     operator fun get(range: Int): RangeHold = holds[range]
 
-    /** Records the [result] at [now] of a [grant] that was sent at [sentAt]. */
-    fun onGrant(grant: OwnershipEffect.Grant, result: OrderResult, sentAt: Long, now: Long) {
-        val hold = holds[grant.range]
+    /** Splits ranges: the range at each index of [formerRanges] was a part of the range with the given former index. */
+    fun split(formerRanges: List<Int>) {
+        holds = formerRanges.mapIndexed { range, former ->
+            if (range > 0 && formerRanges[range - 1] == former) holds[former].copy() else holds[former]
+        }
+    }
+
+    /** Records the [result] at [now] of a [grant] of [range] that was sent at [sentAt]. */
+    fun onGrant(range: Int, grant: OwnershipEffect.Grant, result: OrderResult, sentAt: Long, now: Long) {
+        val hold = holds[range]
         val until = now + HoldTimes.longestHold(grant.holdMilliseconds)
         val mayHold = result == OrderResult.ACCEPTED || result == OrderResult.UNANSWERED
         hold.callInFlight = false
@@ -35,9 +42,9 @@
         }
     }
 
-    /** Records the [result] of a [release], and the holder's [handover] for the next owner. */
-    fun onRelease(release: OwnershipEffect.Release, result: OrderResult, handover: String?) {
-        val hold = holds[release.range]
+    /** Records the [result] of a release of [range], and the holder's [handover] for the next owner. */
+    fun onRelease(range: Int, result: OrderResult, handover: String?) {
+        val hold = holds[range]
         hold.callInFlight = false
         if (result == OrderResult.ACCEPTED) {
             hold.released = true
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
@@ -1,6 +1,7 @@
 /*
  * Moves ranges from busy servers to idle ones, the most effective move first. A hot key or a slow server makes an owner
- * busy. A server that has just joined gets its share of ranges even if no server is busy.
+ * busy. A server that has just joined gets its share of ranges even if no server is busy. A range with more load than
+ * one server should carry is split first, so that several servers can share neighbouring busy keys.
  */
 package rhubarbspool.ownership
 
@@ -12,7 +13,7 @@
     fun moves(
         document: OwnershipDocument,
         candidates: List<Candidate>,
-        load: RangeLoad,
+        load: KeyLoad,
         limit: Int,
         mayMove: (Int) -> Boolean,
     ): Map<Int, Owner> {
@@ -26,6 +27,38 @@
         return moves
     }
 
+    /**
+     * Keys at which to split the hot ranges of [document] that [maySplit], so that each part has about the same load;
+     * a single key is not divisible.
+     */
+    fun cuts(
+        document: OwnershipDocument,
+        candidates: List<Candidate>,
+        load: KeyLoad,
+        maySplit: (Int) -> Boolean,
+    ): List<Int> {
+        if (candidates.size < 2 || document.ranges >= MAXIMUM_RANGES) return emptyList()
+        val serverRate = candidates.map { it.weight }.average() * MILLISECONDS_PER_SECOND / load.overallMean
+        val rates = load.ratesOf(document)
+        val hot = rates.indices.filter { rates[it] > HOT_RANGE_SHARE * serverRate && maySplit(it) }
+        return hot.flatMap { cutsOf(document.keys(it), load, PART_SHARE * serverRate) }
+            .take(MAXIMUM_RANGES - document.ranges)
+    }
+
+    /** Keys at which [keys] is split into parts with at most [partRate] requests per second, or one key, each. */
+    private fun cutsOf(keys: KeyRange, load: KeyLoad, partRate: Double): List<Int> {
+        val cuts = ArrayList<Int>()
+        var partSum = 0.0
+        load.ratesIn(keys).forEach { (key, rate) ->
+            if (partSum + rate > partRate && key > keys.first) {
+                cuts += key
+                partSum = 0.0
+            }
+            partSum += rate
+        }
+        return cuts
+    }
+
     private class Server(val candidate: Candidate, val meanMilliseconds: Double) {
         val ranges = ArrayList<Int>()
         var utilization = 0.0
@@ -35,7 +68,8 @@
             (rate + BASE_RATE) * meanMilliseconds / MILLISECONDS_PER_SECOND / candidate.weight
     }
 
-    private class Distribution(document: OwnershipDocument, candidates: List<Candidate>, private val load: RangeLoad) {
+    private class Distribution(document: OwnershipDocument, candidates: List<Candidate>, load: KeyLoad) {
+        private val rates = load.ratesOf(document)
         private val servers = candidates.map { Server(it, load.meanMilliseconds(it.owner.server)) }
         private val fairRangeCount = document.ranges.toDouble() / candidates.size
 
@@ -44,7 +78,7 @@
             document.ownerOf.indices.forEach { range ->
                 byOwner[document.owner(range)]?.let { server ->
                     server.ranges += range
-                    server.utilization += server.utilizationOf(load.rate(range))
+                    server.utilization += server.utilizationOf(rates[range])
                 }
             }
         }
@@ -62,10 +96,10 @@
         /** The hottest range may gain more at the fastest server than at the idlest one. */
         private fun moveFrom(source: Server, gain: Double, mayMove: (Int) -> Boolean): Pair<Int, Owner>? {
             val ranges = source.ranges.filter(mayMove)
-            val hottest = ranges.maxByOrNull(load::rate) ?: return null
+            val hottest = ranges.maxByOrNull(rates::get) ?: return null
             val idlest = servers.minBy { it.utilization }
             val bestForHottest = servers.filter { it !== source }
-                .minBy { it.utilization + it.utilizationOf(load.rate(hottest)) }
+                .minBy { it.utilization + it.utilizationOf(rates[hottest]) }
             val mostHelpful = ranges.minBy { peakAfter(source, idlest, it) }
             val (range, target) = listOf(mostHelpful to idlest, hottest to bestForHottest)
                 .minBy { (range, target) -> peakAfter(source, target, range) }
@@ -77,7 +111,7 @@
             if (hasNewServer || source.utilization > CROWDED_UTILIZATION) 0.0 else MINIMUM_GAIN
 
         private fun applyMove(range: Int, source: Server, target: Server): Pair<Int, Owner> {
-            val rate = load.rate(range)
+            val rate = rates[range]
             source.ranges -= range
             source.utilization -= source.utilizationOf(rate)
             target.ranges += range
@@ -86,7 +120,7 @@
         }
 
         private fun peakAfter(source: Server, target: Server, range: Int): Double {
-            val rate = load.rate(range)
+            val rate = rates[range]
             return maxOf(
                 source.utilization - source.utilizationOf(rate),
                 target.utilization + target.utilizationOf(rate)
@@ -114,4 +148,13 @@
     /** A move briefly interrupts service of the range and costs a write; a smaller gain is not worth it. */
     private const val MINIMUM_GAIN = 0.01
     private const val SOURCES_TRIED = 3
+
+    /** A range that occupies more than this share of a usual server's slots is hot. */
+    private const val HOT_RANGE_SHARE = 0.5
+
+    /** Share of a usual server's slots that the parts of a hot range occupy. */
+    private const val PART_SHARE = 0.12
+
+    /** Ranges are not split beyond this number: each costs calls to renew it and a place in the document. */
+    private const val MAXIMUM_RANGES = 2_048
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
@@ -6,7 +6,6 @@
 package rhubarbspool.ownership
 
 import rhubarbspool.model.Now
-import rhubarbspool.traffic.BackendEntry
 
 /**
  * Coordinates the ranges of one service from [startedAt], starting with [document]. Not thread-safe.
@@ -20,18 +19,19 @@
         private set
 
     /** Load of the ranges as reported by the instances. */
-    val load = RangeLoad(document.ranges)
-    private val holds = HoldTable(document.ranges, startedAt, isNew)
-    private val planner = CallPlanner(holds)
+    val load = KeyLoad()
+    private var holds = HoldTable(document.ranges, startedAt, isNew)
+    private var planner = CallPlanner(holds)
     private var changesInFlight: Map<Int, Owner>? = null
     private var writeStartedAt = startedAt - WRITE_INTERVAL_MILLISECONDS
     private var rebalancedAt = startedAt
     private var lastServerCount = 0
     private var serversChangedAt = startedAt
+    private val isUnassigned: Boolean get() = document.owners.isEmpty()
 
     /** Returns the effects to execute at [now], including at most [maxCalls] calls to servers. */
     fun tick(view: OwnershipView, maxCalls: Int, now: Now): List<OwnershipEffect> {
-        val candidates = view.eligible.map { candidate(it, now.monotonic) }
+        val candidates = view.eligible.map { OwnershipPlan.candidateOf(it, now.monotonic) }
         val owners = candidates.mapTo(HashSet()) { it.owner }
         rebalance(candidates, owners, now.monotonic)
         val write = write(view, candidates, owners, now)
@@ -41,7 +41,8 @@
 
     /** Records the result at [now] of a grant that was sent at [sentAt]; ignored if the range has been reassigned. */
     fun onGrant(grant: OwnershipEffect.Grant, result: OrderResult, sentAt: Long, now: Long) {
-        if (isCurrent(grant.range, grant.owner, grant.fence)) holds.onGrant(grant, result, sentAt, now)
+        val range = document.rangeOf(grant.keys.first)
+        if (isCurrent(range, grant.keys, grant.owner, grant.fence)) holds.onGrant(range, grant, result, sentAt, now)
     }
 
     /**
@@ -49,7 +50,8 @@
      * reassigned.
      */
     fun onRelease(release: OwnershipEffect.Release, result: OrderResult, handover: String?) {
-        if (isCurrent(release.range, release.owner, release.fence)) holds.onRelease(release, result, handover)
+        val range = document.rangeOf(release.keys.first)
+        if (isCurrent(range, release.keys, release.owner, release.fence)) holds.onRelease(range, result, handover)
     }
 
     /** Records that the document of the last [OwnershipEffect.Write] was written. */
@@ -60,27 +62,36 @@
         changes.keys.forEach { holds[it].reassign(now) }
     }
 
-    private fun isCurrent(range: Int, owner: Owner, fence: Long): Boolean =
-        document.owner(range) == owner && fence / 2 == document.fences[range] / 2
+    private fun isCurrent(range: Int, keys: KeyRange, owner: Owner, fence: Long): Boolean =
+        document.keys(range) == keys && document.owner(range) == owner && fence / 2 == document.fences[range] / 2
 
-    private fun candidate(entry: BackendEntry, now: Long): Candidate {
-        val weight = if (now < entry.coldUntil) OwnershipPlan.COLD_WEIGHT else 1.0
-        return Candidate(OwnershipPlan.ownerOf(entry), weight * entry.slots)
-    }
-
-    /** Chooses ranges to move for load, unless earlier moves are unfinished. */
+    /** Splits hot ranges and chooses ranges to move for load, unless earlier moves are unfinished. */
     private fun rebalance(candidates: List<Candidate>, owners: Set<Owner>, now: Long) {
         if (now - rebalancedAt < REBALANCE_INTERVAL_MILLISECONDS) return
         rebalancedAt = now
         load.decay(now)
         val isMoving = document.ownerOf.indices.any { holds[it].target != null || document.owner(it) !in owners }
-        if (isMoving) return
+        if (isMoving || changesInFlight != null) return
+        val cuts = LoadPlan.cuts(document, candidates, load) { holds[it].isSplittable }
+        if (cuts.isNotEmpty()) {
+            val next = document.splitAt(cuts)
+            holds.split(next.starts.map(document::rangeOf))
+            document = next
+        }
         val moves = LoadPlan.moves(document, candidates, load, MAX_REBALANCE_MOVES) {
             now - holds[it].movedAt > MOVE_COOLDOWN_MILLISECONDS
         }
         moves.forEach { (range, owner) -> holds[range].target = owner }
     }
 
+    /** Chooses the number of ranges before the first assignment; later, ranges are only split. */
+    private fun partition(servers: Int, now: Long) {
+        val ranges = OwnershipPlan.rangeCount(servers)
+        document = OwnershipDocument.empty(ranges, document.fences.max()).copy(coordinator = document.coordinator)
+        holds = HoldTable(ranges, now, isNew = true)
+        planner = CallPlanner(holds)
+    }
+
     private fun write(
         view: OwnershipView,
         candidates: List<Candidate>,
@@ -89,6 +100,7 @@
     ): List<OwnershipEffect> {
         val mayWrite = changesInFlight == null && candidates.isNotEmpty() && haveServersSettled(view, now.monotonic) &&
             now.monotonic - writeStartedAt >= WRITE_INTERVAL_MILLISECONDS
+        if (mayWrite && isUnassigned) partition(candidates.size, now.monotonic)
         val reassignable =
             if (mayWrite) document.ownerOf.indices.filter { isReassignable(it, view, owners, now) } else emptyList()
         if (reassignable.isEmpty()) return emptyList()
@@ -114,7 +126,7 @@
             lastServerCount = view.servers.size
             serversChangedAt = now
         }
-        return document.owners.isNotEmpty() || now - serversChangedAt > SERVERS_SETTLE_MILLISECONDS
+        return !isUnassigned || now - serversChangedAt > SERVERS_SETTLE_MILLISECONDS
     }
 
     private companion object {
@@ -126,7 +138,7 @@
 
         /** Interval of rebalancing, about the interval of load reports. */
         const val REBALANCE_INTERVAL_MILLISECONDS = 250L
-        const val MAX_REBALANCE_MOVES = 16
+        const val MAX_REBALANCE_MOVES = 48
 
         /**
          * Minimum time between two moves of a range, so that its load at the new owner is visible before the next move.
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipDocument.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipDocument.kt
@@ -1,7 +1,7 @@
 /*
  * Maps the keys of a service to the servers that own them: one document in the platform's table, written before a grant
- * is sent. The key space is divided into equal ranges, far more than there are servers, so that neighbouring busy keys
- * are owned by different servers.
+ * is sent. The key space is divided into a few ranges for each server, so that neighbouring busy keys are owned by
+ * different servers. Ranges that become hot are split.
  */
 package rhubarbspool.ownership
 
@@ -14,6 +14,9 @@
 @Serializable
 data class Owner(val server: ServerName, val bornWall: Long, val address: Address)
 
+/** All keys from [first] to [last], both included. */
+data class KeyRange(val first: Int, val last: Int)
+
 /**
  * Owners of all ranges of a service.
  *
@@ -22,6 +25,7 @@
  * @property ownerOf index into [owners] for each range; -1 if the range has no owner.
  * @property fences fencing token of each range; always even, so that the next odd token is free for a fencing grant to
  * the holder before a release.
+ * @property starts first key of each range, ascending; ranges of equal size unless given.
  */
 @Serializable
 data class OwnershipDocument(
@@ -29,6 +33,7 @@
     val ownerOf: List<Int>,
     val fences: List<Long>,
     val coordinator: String = "",
+    val starts: List<Int> = equalStarts(ownerOf.size),
 ) {
     /** Number of ranges. */
     val ranges: Int get() = ownerOf.size
@@ -36,6 +41,12 @@
     /** The owner of [range]; null if it has none. */
     fun owner(range: Int): Owner? = owners.getOrNull(ownerOf[range])
 
+    /** The range of [key]. */
+    fun rangeOf(key: Int): Int = starts.binarySearch(key).let { if (it >= 0) it else -it - 2 }
+
+    /** The keys of [range]. */
+    fun keys(range: Int): KeyRange = KeyRange(starts[range], starts.getOrElse(range + 1) { KEYS } - 1)
+
     /**
      * Returns this document with the new owners by range in [changes]; each of these ranges gets the next even token.
      */
@@ -48,21 +59,42 @@
             current.map { owner -> owner?.let(index::getValue) ?: NO_OWNER },
             fences.mapIndexed { range, fence -> if (range in changes) fence + FENCE_STEP else fence },
             coordinator,
+            starts,
+        )
+    }
+
+    /** Returns this document with a range that starts at each of [keys], with the owner and token of the former one. */
+    fun splitAt(keys: Collection<Int>): OwnershipDocument {
+        val nextStarts = (starts + keys).distinct().sorted()
+        val formerRanges = nextStarts.map(::rangeOf)
+        return copy(
+            ownerOf = formerRanges.map(ownerOf::get),
+            fences = formerRanges.map(fences::get),
+            starts = nextStarts,
         )
     }
 
     /**
      * Returns this document with the next even token for every range: once an owner has accepted a grant with it,
-     * grants of earlier coordinators that are still in flight are void.
+     * grants of earlier coordinators that are still in flight are void. Neighbouring ranges of one owner are joined
+     * under the higher of their tokens.
      */
-    fun takenOverBy(coordinator: String): OwnershipDocument =
-        copy(fences = fences.map { it + FENCE_STEP }, coordinator = coordinator)
+    fun takenOverBy(coordinator: String): OwnershipDocument {
+        val kept = ownerOf.indices.filter { it == 0 || ownerOf[it] == NO_OWNER || ownerOf[it] != ownerOf[it - 1] }
+        val ends = kept.drop(1) + ranges
+        return copy(
+            ownerOf = kept.map(ownerOf::get),
+            fences = kept.zip(ends) { first, end -> (first until end).maxOf(fences::get) + FENCE_STEP },
+            coordinator = coordinator,
+            starts = kept.map(starts::get),
+        )
+    }
 
     /** This document as JSON. */
     fun encode(): String = JSON.encodeToString(serializer(), this)
 
     companion object {
-        /** Number of ranges in a new document; 64 keys each. */
+        /** Number of ranges in a new document unless given; 64 keys each. */
         const val RANGES: Int = 1_024
 
         /** Size of the key space. */
@@ -72,20 +104,14 @@
         private const val FENCE_STEP = 2L
         private val JSON = Json { ignoreUnknownKeys = true }
 
-        /** A document without owners. */
-        fun empty(ranges: Int = RANGES): OwnershipDocument =
-            OwnershipDocument(emptyList(), List(ranges) { NO_OWNER }, List(ranges) { 0L })
+        /** A document without owners, whose tokens are [fence]. */
+        fun empty(ranges: Int = RANGES, fence: Long = 0): OwnershipDocument =
+            OwnershipDocument(emptyList(), List(ranges) { NO_OWNER }, List(ranges) { fence })
 
         /** Parses [text]; throws [IllegalArgumentException] if it is not a valid document. */
         fun decode(text: String): OwnershipDocument = JSON.decodeFromString(serializer(), text)
 
-        /** The range of [key] in a document with [ranges] ranges. */
-        fun rangeOf(key: Int, ranges: Int): Int = (key.toLong() * ranges / KEYS).toInt()
-
-        /** The first key of [range]. */
-        fun firstKey(range: Int, ranges: Int): Int = ((range.toLong() * KEYS + ranges - 1) / ranges).toInt()
-
-        /** The last key of [range]. */
-        fun lastKey(range: Int, ranges: Int): Int = firstKey(range + 1, ranges) - 1
+        private fun equalStarts(ranges: Int): List<Int> =
+            List(ranges) { ((it.toLong() * KEYS + ranges - 1) / ranges).toInt() }
     }
 }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipEffect.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipEffect.kt
@@ -5,17 +5,17 @@
 
 /** An effect for the runner of the coordinator to execute. */
 sealed interface OwnershipEffect {
-    /** Grants [range] to [owner] for [holdMilliseconds]; the result goes to [OwnershipCoordinator.onGrant]. */
+    /** Grants [keys] to [owner] for [holdMilliseconds]; the result goes to [OwnershipCoordinator.onGrant]. */
     data class Grant(
-        val range: Int,
+        val keys: KeyRange,
         val owner: Owner,
         val fence: Long,
         val holdMilliseconds: Long,
         val handover: String?,
     ) : OwnershipEffect
 
-    /** Asks [owner] to release [range]; the result goes to [OwnershipCoordinator.onRelease]. */
-    data class Release(val range: Int, val owner: Owner, val fence: Long) : OwnershipEffect
+    /** Asks [owner] to release [keys]; the result goes to [OwnershipCoordinator.onRelease]. */
+    data class Release(val keys: KeyRange, val owner: Owner, val fence: Long) : OwnershipEffect
 
     /** Writes [document]; [OwnershipCoordinator.onWritten] is called when it is written. */
     data class Write(val document: OwnershipDocument) : OwnershipEffect
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipPlan.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipPlan.kt
@@ -11,11 +11,23 @@
 /** Assigns owners to ranges. */
 object OwnershipPlan {
     /** Share of its usual weight that a server gets while it is cold. */
-    const val COLD_WEIGHT: Double = 0.5
+    private const val COLD_WEIGHT: Double = 0.5
+
+    private const val RANGES_PER_SERVER = 4
+    private const val MINIMUM_RANGES = 128
+
+    /** Number of ranges in the first document of a service with [servers] servers. */
+    fun rangeCount(servers: Int): Int = (servers * RANGES_PER_SERVER).coerceIn(MINIMUM_RANGES, OwnershipDocument.RANGES)
 
     /** The owner that [entry] describes. */
     fun ownerOf(entry: BackendEntry) = Owner(entry.server, entry.bornWall, entry.address)
 
+    /** The server that [entry] describes, weighted by its slots at [now]. */
+    fun candidateOf(entry: BackendEntry, now: Long): Candidate {
+        val weight = if (now < entry.coldUntil) COLD_WEIGHT else 1.0
+        return Candidate(ownerOf(entry), weight * entry.slots)
+    }
+
     /** Returns a new owner for each of [ranges]; [current] holds the owners of all ranges. Empty without candidates. */
     fun assign(ranges: Collection<Int>, current: List<Owner?>, candidates: List<Candidate>): Map<Int, Owner> {
         if (candidates.isEmpty()) return emptyMap()
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/RangeHold.kt
@@ -53,6 +53,20 @@
     /** Whether no grant sent to the holder can take effect after [now], once it has released the range. */
     fun areGrantsVoid(now: Long): Boolean = !hasUnconfirmedGrant(now) && now >= fencingUntil
 
+    /** Whether the range may be split: no call is in flight whose result would concern several ranges. */
+    val isSplittable: Boolean
+        get() = !callInFlight && !released && target == null && handover == null && !awaitsFirstGrant
+
+    /** A copy of this state, for a part of the range. */
+    fun copy(): RangeHold = RangeHold(mayHoldUntil, earlierGrantsUntil, lastArrivalAt).also {
+        it.unansweredUntil = unansweredUntil
+        it.fencingUntil = fencingUntil
+        it.grantedAt = grantedAt
+        it.calledAt = calledAt
+        it.fenced = fenced
+        it.movedAt = movedAt
+    }
+
     /** Resets the state for a new owner at [now]. */
     fun reassign(now: Long) {
         grantedAt = NEVER
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipFuzzTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipFuzzTest.kt
@@ -6,6 +6,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.longs.shouldBeGreaterThan
 
 class OwnershipFuzzTest : FunSpec({
@@ -28,14 +29,22 @@
                 delayed = 0.05,
                 unanswered = 0.05
             ),
+        "hot areas whose ranges are split" to OwnershipFaults(hotArea = 0.02),
+        "hot areas while calls are lost and coordinators replaced" to
+            OwnershipFaults(hotArea = 0.02, unanswered = 0.05, delayed = 0.05, takeover = 0.003, drain = 0.001),
         "all" to OwnershipFaults(0.001, 0.05, 0.05, 0.001, 0.001, 0.002, 0.001, 0.001, 0.001, 0.001),
+        "all with hot areas" to
+            OwnershipFaults(0.001, 0.05, 0.05, 0.001, 0.001, 0.002, 0.001, 0.001, 0.001, 0.001, hotArea = 0.01),
     )
 
+    val initialRanges = OwnershipPlan.rangeCount(1)
+
     cases.forEach { (name, faults) ->
         test("one holder at a time: $name") {
             val simulations = (1..SEEDS).map { OwnershipSimulation(it, faults).run(LENGTH) }
             simulations.flatMap { it.violations }.shouldBeEmpty()
             simulations.sumOf { it.heldSteps } shouldBeGreaterThan 0
+            if (faults.hotArea > 0) simulations.maxOf { it.mostRanges } shouldBeGreaterThan 2 * initialRanges
         }
     }
 })
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipSimulation.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipSimulation.kt
@@ -29,6 +29,7 @@
     val restartSameName: Double = 0.0,
     val pause: Double = 0.0,
     val leaveUnannounced: Double = 0.0,
+    val hotArea: Double = 0.0,
 )
 
 internal class OwnershipSimulation(private val seed: Int, private val faults: OwnershipFaults) {
@@ -38,6 +39,8 @@
         var entryExpiresAt = Long.MAX_VALUE
         var draining = false
         var unreachableUntil = 0L
+
+        /** Fencing token and end of the hold, by key. */
         val held = HashMap<Int, Pair<Long, Long>>()
     }
 
@@ -58,15 +61,20 @@
     /** Violated invariants. */
     val violations = ArrayList<String>()
 
-    /** Number of held ranges, summed over all steps. */
+    /** Number of held keys, summed over all steps. */
     var heldSteps = 0L
         private set
 
+    /** Most ranges that a written document had. */
+    var mostRanges = RANGES
+        private set
+
     fun run(length: Long): OwnershipSimulation {
         repeat(SERVERS) { start(Address("10.0.0.1", it + 1)) }
         while (now < length && violations.isEmpty()) {
             while (events.isNotEmpty() && events.peek().at <= now) events.poll().action()
             injectFaults()
+            if (random.nextDouble() < faults.hotArea) reportHotArea()
             if (now >= pausedUntil) coordinator.tick(view(), CALLS, Now(now, WALL + now)).forEach(::execute)
             checkInvariants()
             now += STEP
@@ -145,6 +153,7 @@
             is OwnershipEffect.Write -> schedule(WRITE_TIME) {
                 if (issuedIn == generation) {
                     document = effect.document
+                    mostRanges = maxOf(mostRanges, document.ranges)
                     issuer.onWritten(now)
                 }
             }
@@ -181,33 +190,43 @@
         }
     }
 
+    /** A few neighbouring keys are so busy that their ranges are split and parts of them moved. */
+    private fun reportHotArea() {
+        val first = random.nextInt(OwnershipDocument.KEYS / KEY_STEP - HOT_KEYS)
+        (first until first + HOT_KEYS).forEach { coordinator.load.recordRequests(it * KEY_STEP, HOT_REQUESTS, now) }
+    }
+
+    /** The keys of [range] that the oracle follows. */
+    private fun followedKeys(range: KeyRange) =
+        (range.first + KEY_STEP - 1) / KEY_STEP * KEY_STEP..range.last step KEY_STEP
+
     private fun accept(server: Incarnation, effect: OwnershipEffect.Grant, arrivedAt: Long): Boolean {
-        val known = server.held[effect.range]
+        val keys = followedKeys(effect.keys)
         val until = arrivedAt + effect.holdMilliseconds * SLOW_CLOCK / PERCENT
-        val accepted = server.up && (known == null || known.first <= effect.fence)
+        val accepted = server.up && keys.all { (server.held[it]?.first ?: 0) <= effect.fence }
         if (accepted && until > now) {
-            checkFence(server, effect)
-            server.held[effect.range] = effect.fence to maxOf(until, known?.second ?: 0)
+            keys.forEach { key ->
+                checkFence(server, key, effect.fence)
+                server.held[key] = effect.fence to maxOf(until, server.held[key]?.second ?: 0)
+            }
         }
         return accepted
     }
 
-    private fun checkFence(server: Incarnation, effect: OwnershipEffect.Grant) {
-        val highest = highestFences[effect.range]
+    private fun checkFence(server: Incarnation, key: Int, fence: Long) {
+        val highest = highestFences[key]
         val other = highest != null && highest.second != server.entry.server
-        if (highest != null && other && effect.fence <= highest.first) {
-            violations += "seed $seed at $now: range ${effect.range}: fence ${effect.fence} granted after $highest"
-        }
-        if (highest == null || effect.fence > highest.first) {
-            highestFences[effect.range] = effect.fence to server.entry.server
+        if (highest != null && other && fence <= highest.first) {
+            violations += "seed $seed at $now: key $key: fence $fence granted after $highest"
         }
+        if (highest == null || fence > highest.first) highestFences[key] = fence to server.entry.server
     }
 
     private fun release(effect: OwnershipEffect.Release, issuedIn: Int, issuer: OwnershipCoordinator) {
         val lost = random.nextDouble() < faults.unanswered
         schedule(random.nextLong(1, TRANSIT)) {
             val server = reachableAt(effect.owner.address)
-            server?.held?.computeIfPresent(effect.range) { _, hold -> hold.first to 0L }
+            followedKeys(effect.keys).forEach { server?.held?.computeIfPresent(it) { _, hold -> hold.first to 0L } }
             val result = when {
                 server == null -> OrderResult.NOT_SENT
                 lost -> OrderResult.UNANSWERED
@@ -226,11 +245,11 @@
     private fun checkInvariants() {
         val holders = HashMap<Int, Incarnation>()
         incarnations.filter { it.up }.forEach { server ->
-            server.held.filterValues { it.second > now }.keys.forEach { range ->
+            server.held.filterValues { it.second > now }.keys.forEach { key ->
                 heldSteps++
-                val other = holders.put(range, server)
+                val other = holders.put(key, server)
                 if (other != null) {
-                    violations += "seed $seed at $now: ${other.entry.server}, ${server.entry.server} hold range $range"
+                    violations += "seed $seed at $now: ${other.entry.server}, ${server.entry.server} hold key $key"
                 }
             }
         }
@@ -243,6 +262,11 @@
     companion object {
         const val STEP = 20L
         const val RANGES = 24
+
+        /** One key in this many is followed by the oracle. */
+        private const val KEY_STEP = 512
+        private const val HOT_KEYS = 6
+        private const val HOT_REQUESTS = 12
         private const val SERVERS = 6
         private const val DOMAINS = 3
         private const val CALLS = 8
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/TakeBackTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/TakeBackTest.kt
@@ -33,7 +33,8 @@
         when (effect) {
             is OwnershipEffect.Write -> onWritten(now)
             is OwnershipEffect.Grant -> {
-                movedAt.remove(effect.range)?.let { longestUngranted = maxOf(longestUngranted, now - it) }
+                val range = coordinator.document.rangeOf(effect.keys.first)
+                movedAt.remove(range)?.let { longestUngranted = maxOf(longestUngranted, now - it) }
                 coordinator.onGrant(effect, result, now, now)
             }
             is OwnershipEffect.Release -> coordinator.onRelease(effect, result, null)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LoadCounter.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LoadCounter.kt
@@ -1,5 +1,5 @@
 /*
- * Counts the requests of each range and the responses of each server of sharded services, for the coordinator.
+ * Counts the requests of each key and the responses of each server of sharded services, for the coordinator.
  */
 package rhubarbspool.entry
 
@@ -13,15 +13,15 @@
     private class Answers(var count: Int = 0, var milliseconds: Long = 0)
 
     private class Counts {
-        val ranges = HashMap<Int, Int>()
+        val keys = HashMap<Int, Int>()
         val servers = HashMap<ServerName, Answers>()
     }
 
     private val services = HashMap<ServiceName, Counts>()
 
-    /** Counts a request for [range] of [service]. */
-    fun recordRequest(service: TrafficService, range: Int) {
-        services.getOrPut(service.name) { Counts() }.ranges.merge(range, 1, Int::plus)
+    /** Counts a request for [key] of [service]. */
+    fun recordRequest(service: TrafficService, key: Int) {
+        services.getOrPut(service.name) { Counts() }.keys.merge(key, 1, Int::plus)
     }
 
     /** Counts a response of [server] of [service] after [milliseconds]. */
@@ -42,12 +42,12 @@
     }
 
     private fun message(service: ServiceName, counts: Counts): LoadMessage {
-        val ranges = counts.ranges.entries.toList()
+        val keys = counts.keys.entries.toList()
         val servers = counts.servers.entries.toList()
         return LoadMessage(
             service.text,
-            ranges.map { it.key },
-            ranges.map { it.value },
+            keys.map { it.key },
+            keys.map { it.value },
             servers.map { it.key.text },
             servers.map { it.value.count },
             servers.map { it.value.milliseconds },
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipCalls.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipCalls.kt
@@ -3,6 +3,7 @@
  */
 package rhubarbspool.entry
 
+import rhubarbspool.ownership.KeyRange
 import rhubarbspool.ownership.OrderResult
 import rhubarbspool.ownership.Owner
 import rhubarbspool.ownership.OwnershipCoordinator
@@ -18,18 +19,18 @@
     /** Sends [grant] and passes its result to [coordinator]. */
     fun grant(coordinator: OwnershipCoordinator, grant: OwnershipEffect.Grant) {
         val sentAt = context.clock()
-        orders.grant(grant, coordinator.document.ranges, service.healthPath).whenComplete { response, failure ->
+        orders.grant(grant, service.healthPath).whenComplete { response, failure ->
             val result = response?.result ?: OrderResult.UNANSWERED
-            if (result != OrderResult.ACCEPTED) logResult("grant", grant.owner, grant.range, result, failure)
+            if (result != OrderResult.ACCEPTED) logResult("grant", grant.owner, grant.keys, result, failure)
             coordinator.onGrant(grant, result, sentAt, context.clock())
         }
     }
 
     /** Sends [release] and passes its result to [coordinator]. */
     fun release(coordinator: OwnershipCoordinator, release: OwnershipEffect.Release) {
-        orders.release(release, coordinator.document.ranges).whenComplete { response, failure ->
+        orders.release(release).whenComplete { response, failure ->
             val result = response?.result ?: OrderResult.UNANSWERED
-            logResult("release", release.owner, release.range, result, failure)
+            logResult("release", release.owner, release.keys, result, failure)
             coordinator.onRelease(release, result, response?.handover)
         }
     }
@@ -37,13 +38,13 @@
     private fun logResult(
         order: String,
         owner: Owner,
-        range: Int,
+        keys: KeyRange,
         result: OrderResult,
         failure: Throwable?,
     ) = context.log.event(
         order,
         "server" to owner.server,
-        "range" to range,
+        "range" to "${keys.first}-${keys.last}",
         "result" to result,
         "cause" to failure?.message,
     )
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
@@ -41,7 +41,7 @@
     fun recordLoad(report: LoadMessage) {
         val load = coordinator?.load ?: return
         val now = context.clock()
-        report.ranges.forEachIndexed { index, range -> load.recordRequests(range, report.counts[index], now) }
+        report.keys.forEachIndexed { index, key -> load.recordRequests(key, report.counts[index], now) }
         report.servers.forEachIndexed { index, server ->
             load.recordAnswers(ServerName(server), report.answers[index], report.milliseconds[index])
         }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
@@ -84,14 +84,14 @@
 /**
  * Load of a sharded service at the sender since its last report.
  *
- * @property ranges ranges with requests; [counts] holds the number of requests of each.
+ * @property keys keys with requests; [counts] holds the number of requests of each.
  * @property servers servers that responded; [answers] holds the number of responses of each, and [milliseconds] their
  * total duration.
  */
 @Serializable
 internal data class LoadMessage(
     val service: String,
-    val ranges: List<Int>,
+    val keys: List<Int>,
     val counts: List<Int>,
     val servers: List<String>,
     val answers: List<Int>,
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
@@ -116,8 +116,8 @@
 /** Grants and releases of keys at servers. */
 interface OwnershipOrders {
     /** Sends [order] to its owner and to no other incarnation; at [healthPath] a server reports its incarnation. */
-    fun grant(order: OwnershipEffect.Grant, ranges: Int, healthPath: String): CompletableFuture<OrderAnswer>
+    fun grant(order: OwnershipEffect.Grant, healthPath: String): CompletableFuture<OrderAnswer>
 
     /** Asks the owner in [order] to release a range. */
-    fun release(order: OwnershipEffect.Release, ranges: Int): CompletableFuture<OrderAnswer>
+    fun release(order: OwnershipEffect.Release): CompletableFuture<OrderAnswer>
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestRun.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestRun.kt
@@ -31,7 +31,7 @@
         if (state.service.sharded && state.key == null) {
             end.fail(RequestError(ErrorKind.KEY_MISSING, state.route.name))
         } else {
-            state.range()?.let { context.load.recordRequest(state.service, it) }
+            state.key?.takeIf { state.service.sharded }?.let { context.load.recordRequest(state.service, it) }
             search.start()
         }
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestState.kt
@@ -51,19 +51,13 @@
     /** Takes a retry from this instance's share of the retry budget at [now]; returns whether one was left. */
     fun tryAcquireRetry(now: Long): Boolean = context.retryAllowance(service.name).tryAcquire(context.retrySlack, now)
 
-    /** The range of the key; null if the request has no key or the service has no ownership document. */
-    fun range(): Int? {
-        val document = context.process.state.shared.ownership[service.name]?.document
-        return if (document == null || key == null) null else OwnershipDocument.rangeOf(key, document.ranges)
-    }
-
     /**
      * The owner of the key at [now]; null if its incarnation has ended, it may no longer serve, or nobody owns the key.
      */
     fun owner(now: Long): BackendEntry? {
         val directory = context.process.state.directory
         val document = context.process.state.shared.ownership[service.name]?.document
-        val owner = range()?.let { document?.owner(it) }
+        val owner = key?.let { document?.owner(document.rangeOf(it)) }
         val entry = owner?.let { directory[it.server] }?.takeIf { it.bornWall == owner.bornWall }
         return entry?.takeIf { directory.mayStillServe(it.server, now) }
     }
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/KeyedServerStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/KeyedServerStandIn.kt
@@ -35,9 +35,7 @@
     private val sharded: Boolean,
     private val workMilliseconds: Long = 2
 ) : HttpHandler {
-    private class HeldGrant(val fence: Long, val expiresAt: Long)
-
-    private val grantsByRange = HashMap<IntRange, HeldGrant>()
+    private val granted = GrantedKeys()
     private val runs = ArrayList<String>()
 
     /** Fault in force. */
@@ -50,7 +48,7 @@
 
     /** Key ranges whose grants have not expired. */
     @Synchronized
-    fun heldRanges(): Set<IntRange> = grantsByRange.filterValues { it.expiresAt > System.nanoTime() }.keys.toSet()
+    fun heldRanges(): Set<IntRange> = granted.held(System.nanoTime())
 
     @Synchronized
     override fun handle(call: HttpCall): CompletableFuture<HttpAnswer> = when (call.path) {
@@ -61,17 +59,15 @@
     }
 
     private fun grant(body: JsonObject): HttpAnswer {
-        val range = rangeOf(body)
         val fence = body.getValue("fence").jsonPrimitive.long
-        val overlapping = grantsByRange.filterKeys { it.first <= range.last && range.first <= it.last }
-        if (overlapping.any { it.value.fence > fence }) return HttpAnswer(REFUSED, emptyMap(), "")
         val holdMilliseconds = body.getValue("hold_time").jsonPrimitive.content.removeSuffix("ms").toLong()
-        grantsByRange[range] = HeldGrant(fence, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(holdMilliseconds))
-        return HttpAnswer(OK, emptyMap(), "{}")
+        val expiresAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(holdMilliseconds)
+        val accepted = granted.grant(rangeOf(body), fence, expiresAt)
+        return if (accepted) HttpAnswer(OK, emptyMap(), "{}") else HttpAnswer(REFUSED, emptyMap(), "")
     }
 
     private fun release(body: JsonObject): HttpAnswer {
-        grantsByRange.remove(rangeOf(body))
+        granted.release(rangeOf(body))
         return HttpAnswer(OK, mapOf("Rhubarbspool-Handover" to "handover-$id"), "{}")
     }
 
@@ -91,7 +87,7 @@
     }
 
     private fun owns(key: Int?): Boolean =
-        !sharded || grantsByRange.any { (range, hold) -> key in range && hold.expiresAt > System.nanoTime() }
+        !sharded || granted.held(System.nanoTime()).any { key in it }
 
     private fun run(requestId: String, call: HttpCall, echo: Map<String, String>): CompletableFuture<HttpAnswer> {
         runs += requestId
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/LocalPlatform.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/LocalPlatform.kt
@@ -14,8 +14,8 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Listen addresses of an instance: for callers, for readiness checks, and for other instances. Metrics are served on the
- * port that follows the one of [peers].
+ * Listen addresses of an instance: for callers, for readiness checks, and for other instances. Metrics are served on
+ * the port that follows the one of [peers].
  */
 data class ListenAddresses(
     val callers: Address = LocalPlatform.freeAddress(),
