Rank duties once per change of members, on the larger machines; tick only when something is due

Cause, by reading: each instance ordered all members by hash at every tick of 20 ms, twice, and for every request; each pool had a dispatcher of its own among all instances of its domain, so that each instance came to hold links to nearly all others; JVM sampling threads woke 20 times a second.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/placement/Rendezvous.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/placement/Rendezvous.kt
@@ -14,5 +14,12 @@
 
     /** [candidates] from the most to the least preferred for [subject]. */
     fun <T> order(subject: String, candidates: Collection<T>, name: (T) -> String): List<T> =
-        candidates.sortedWith(compareByDescending<T> { score(subject, name(it)) }.thenBy { name(it) })
+        order(subject, candidates, { 0 }, name)
+
+    /** [candidates] with those of the largest [capacity] first; equal ones from the most to the least preferred. */
+    fun <T> order(subject: String, candidates: Collection<T>, capacity: (T) -> Int, name: (T) -> String): List<T> {
+        val scores = candidates.associateWith { score(subject, name(it)) }
+        val byPreference = compareByDescending<T> { scores.getValue(it) }.thenBy { name(it) }
+        return candidates.sortedWith(compareByDescending(capacity).then(byPreference))
+    }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
@@ -17,6 +17,9 @@
     private val runners = HashMap<ServiceName, OwnershipRunner>()
     private var wasHeld = false
 
+    /** Whether this instance coordinated at the last tick. */
+    val isCoordinating: Boolean get() = wasHeld
+
     /** Advances the lease and, while it is held, the coordinator of each sharded service. */
     fun tick() {
         val now = context.now()
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -53,7 +53,7 @@
         serverChannels += callers.listen()
         loop.execute(source::start)
         loop.execute(MemberRow(context, platform.table)::maintain)
-        scheduleEvery(TICK_MILLISECONDS, ::tick)
+        loop.execute(::runTick)
         scheduleEvery(REPORT_MILLISECONDS) {
             load.flush { instance, message -> hub.sendLoad(instance, message, context.clock()) }
         }
@@ -103,6 +103,18 @@
     private fun isReady(): Boolean =
         !flow.isStopping && state.configuration != null && state.rows(Feed.SERVERS).version != null
 
+    /** Runs a tick and schedules the next one, soon only if decisions may be due. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun runTick() {
+        try {
+            tick()
+        } catch (exception: RuntimeException) {
+            log.fault("a tick failed", "cause" to exception.stackTraceToString())
+        }
+        val isBusy = pools.hasWaiting || coordinator.isCoordinating
+        loop.schedule(::runTick, if (isBusy) TICK_MILLISECONDS else IDLE_TICK_MILLISECONDS, TimeUnit.MILLISECONDS)
+    }
+
     private fun tick() {
         val now = context.clock()
         if (state.expire(now)) flow.onServersChanged()
@@ -141,6 +153,9 @@
         /** Interval of all decisions that depend on time alone. */
         const val TICK_MILLISECONDS = 20L
 
+        /** The same while no request waits here and no keys are coordinated. */
+        const val IDLE_TICK_MILLISECONDS = 100L
+
         /** Interval of load reports; a hot key is detected from two of them. */
         const val REPORT_MILLISECONDS = 300L
         const val IDLE_CHECK_MILLISECONDS = 500L
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntrySettings.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntrySettings.kt
@@ -7,11 +7,16 @@
 import rhubarbspool.model.FailureDomainName
 import rhubarbspool.model.InstanceName
 
-/** Settings of one process. Retry budgets apply to the requests of all instances together. */
+/**
+ * Settings of one process. Retry budgets apply to the requests of all instances together.
+ *
+ * @property processorPercent the share of a processor core that the process has, in percent; 0 if it is not known.
+ */
 data class EntrySettings(
     val instance: InstanceName,
     val domain: FailureDomainName,
     val domains: List<FailureDomainName>,
+    val processorPercent: Int,
     val callers: Address,
     val readiness: Address,
     val peers: Address,
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseRunner.kt
@@ -6,7 +6,6 @@
 import rhubarbspool.model.Now
 import rhubarbspool.ownership.CoordinatorLease
 import rhubarbspool.ownership.LeaseStep
-import rhubarbspool.placement.Rendezvous
 
 /** Executes the table calls that [CoordinatorLease] decides on. */
 internal class LeaseRunner(private val context: ProcessContext, private val table: PlatformTable) {
@@ -47,9 +46,14 @@
     /** Position of this instance among the candidates, in a fixed order that excludes the current holder. */
     private fun rank(): Int {
         val holder = lease.knownHolder?.substringBefore('/')
-        val others = context.state.shared.members.values.filter { it.instance.text != holder }
-        val order = Rendezvous.order(KEY, others) { it.instance.text }
-        return order.indexOfFirst { it.instance == context.settings.instance }.let { if (it < 0) order.size else it }
+        val order = context.duties.order(KEY)
+        val position = order.indexOfFirst { it.instance == context.settings.instance }
+        val holderPosition = order.indexOfFirst { it.instance.text == holder }
+        return when {
+            position < 0 -> order.size
+            holderPosition in 0 until position -> position - 1
+            else -> position
+        }
     }
 
     private fun read() {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberRow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberRow.kt
@@ -7,7 +7,8 @@
 
 /** Writes the row of this instance when it is missing or out of date. */
 internal class MemberRow(private val context: ProcessContext, private val table: PlatformTable) {
-    private val self = Member(context.settings.instance, context.settings.domain, context.settings.peers)
+    private val self =
+        context.settings.run { Member(instance, domain, peers, processorPercent) }
 
     /** Checks the row now and then periodically. */
     fun maintain() {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
@@ -7,7 +7,6 @@
 import rhubarbspool.model.FailureDomainName
 import rhubarbspool.model.InstanceName
 import rhubarbspool.placement.InstanceReachability
-import rhubarbspool.placement.Rendezvous
 
 /** A slot request that was sent; [withdraw] or [done] ends it. */
 internal class PendingSlotRequest(
@@ -94,11 +93,15 @@
         }
     }
 
-    /** Closes connections that are idle or timed out at [now], and exchanges feed versions with a random instance. */
+    /**
+     * Closes connections that are idle or timed out at [now], and exchanges feed versions with a random instance, one
+     * that it is connected to if there is any.
+     */
     fun tick(now: Long) {
         if (now - lastGossipAt >= GOSSIP_MILLISECONDS) {
             lastGossipAt = now
-            val others = context.state.shared.members.values.filter { it.instance != context.settings.instance }
+            val connected = links.values.map { it.member }
+            val others = connected.ifEmpty { context.state.shared.members.values - self() }
             others.randomOrNull()?.let { other -> linkTo(other).sendMessage(PeerMessage(ping = true), now) }
         }
         links.values.filter { it.isTimedOut(now) || it.isIdle(now) }.forEach { it.abandon() }
@@ -117,18 +120,16 @@
     }
 
     private fun dispatcherOf(pool: PoolName, now: Long): Member? {
-        val members = context.state.shared.members.values
-        val reachable = members.filter {
-            it.instance == context.settings.instance || !reachability.isAvoided(it.instance, now)
-        }
-        val sameDomain = reachable.filter { it.domain.text == pool.domain }
-        val candidates = sameDomain.ifEmpty { reachable.filter { it.domain == context.settings.domain } }
-        val subject = "${pool.service}/${pool.domain}/${pool.server}"
-        return candidates.maxWithOrNull(
-            compareBy({ Rendezvous.score(subject, it.instance.text) }, { it.instance.text }),
-        )
+        fun isReachable(member: Member) =
+            member.instance == context.settings.instance || !reachability.isAvoided(member.instance, now)
+        val duties = context.duties
+        return duties.dispatchersOf(pool).firstOrNull(::isReachable)
+            ?: duties.dispatchersIn(FailureDomainName(pool.domain)).firstOrNull(::isReachable)
+            ?: duties.dispatchersIn(context.settings.domain).firstOrNull(::isReachable)
     }
 
+    private fun self() = setOfNotNull(context.state.shared.members[context.settings.instance])
+
     private fun recordLoss(member: Member, silent: Boolean) {
         val now = context.clock()
         val isNew = reachability.recordLoss(member.instance, member.domain, silent, now)
@@ -148,6 +149,6 @@
 
     private companion object {
         /** Versions of new rows reach most instances within a few intervals, also where there are no requests. */
-        const val GOSSIP_MILLISECONDS = 250L
+        const val GOSSIP_MILLISECONDS = 500L
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
@@ -20,6 +20,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder
 import io.netty.handler.codec.LengthFieldPrepender
+import io.netty.handler.flush.FlushConsolidationHandler
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.protobuf.ProtoBuf
@@ -64,6 +65,7 @@
 
     private fun addHandlers(channel: SocketChannel, listener: PeerListener) {
         channel.pipeline().addLast(
+            FlushConsolidationHandler(MESSAGES_PER_FLUSH, true),
             LengthFieldBasedFrameDecoder(MAXIMUM_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
             LengthFieldPrepender(LENGTH_BYTES),
             FrameHandler(listener, log),
@@ -102,6 +104,9 @@
     @OptIn(ExperimentalSerializationApi::class)
     companion object {
         private const val LENGTH_BYTES = 4
+
+        /** Messages that are sent in one turn of the event loop share a system call. */
+        private const val MESSAGES_PER_FLUSH = 64
         private const val MAXIMUM_FRAME_BYTES = 1_048_576
 
         /** Allows for two round trips between failure domains and some load. */
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
@@ -29,6 +29,9 @@
     /** Number of pools. */
     val count: Int get() = pools.size
 
+    /** Whether requests wait in any pool. */
+    val hasWaiting: Boolean get() = pools.values.any { it.pool.queued > 0 }
+
     /** Registers [listener] for decisions about requests of [owner]. */
     fun attach(owner: String, listener: DecisionListener) {
         listeners[owner] = listener
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
@@ -19,6 +19,9 @@
     var settings: EntrySettings = settings
         private set
 
+    /** Which instances perform duties for others. */
+    val duties = DutyRanking(state.shared)
+
     /** Applies [next], except for names and addresses, which can't change while the process runs. */
     fun reload(next: EntrySettings) {
         val kept = next.copy(
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -7,7 +7,6 @@
 
 import rhubarbspool.model.InstanceName
 import rhubarbspool.placement.ReaderChoice
-import rhubarbspool.placement.Rendezvous
 import rhubarbspool.placement.TableOutage
 
 /**
@@ -140,9 +139,6 @@
 
 /** All instances in order of preference as reader for this one: those of its own failure domain first. */
 private fun readers(context: ProcessContext): List<InstanceName> {
-    val (sameDomain, otherDomains) =
-        context.state.shared.members.values.partition { it.domain == context.settings.domain }
-    return listOf(sameDomain, otherDomains).flatMap { members ->
-        Rendezvous.order("reader", members) { it.instance.text }.map { it.instance }
-    }
+    val (sameDomain, otherDomains) = context.duties.order("reader").partition { it.domain == context.settings.domain }
+    return (sameDomain + otherDomains).map { it.instance }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/SharedRows.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/SharedRows.kt
@@ -12,9 +12,18 @@
 import rhubarbspool.model.ServiceName
 import rhubarbspool.ownership.OwnershipDocument
 
-/** An instance, as it registered itself in the shared rows. */
+/**
+ * An instance, as it registered itself in the shared rows.
+ *
+ * @property processorPercent the share of a processor core that it has, in percent; 0 if it is not known.
+ */
 @Serializable
-data class Member(val instance: InstanceName, val domain: FailureDomainName, val peers: Address) {
+data class Member(
+    val instance: InstanceName,
+    val domain: FailureDomainName,
+    val peers: Address,
+    val processorPercent: Int = 0,
+) {
     /** Encodes this member as the value of its row. */
     fun encode(): String = Json.encodeToString(serializer(), this)
 
@@ -32,6 +41,10 @@
     /** Instances by name. */
     val members = HashMap<InstanceName, Member>()
 
+    /** Number of changes to [members]. */
+    var memberChanges = 0L
+        private set
+
     /** Versions of the instances' rows. */
     val memberVersions = HashMap<InstanceName, Long>()
 
@@ -49,7 +62,8 @@
     private fun mergeMember(item: FeedItem.Shared, name: InstanceName) {
         memberVersions[name] = item.version
         val member = item.value?.let { parse(item.key) { Json.decodeFromString(Member.serializer(), it) } }
-        if (member == null) members.remove(name) else members[name] = member
+        val before = if (member == null) members.remove(name) else members.put(name, member)
+        if (before != member) memberChanges++
     }
 
     private fun mergeOwnership(item: FeedItem.Shared, service: ServiceName) {
