--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -29,7 +29,10 @@
     private val pools = PoolService(state)
     private val transport = PeerTransport(group, log)
     private val coordinator = CoordinatorRunner(context, platform.table, platform.orders)
-    private val source: RowSource = RowSource(context, transport, platform.table) { onRowsChanged() }
+    private val source: RowSource = RowSource(context, transport, platform.table) {
+        pools.tick(context.clock())
+        flow.onServersChanged()
+    }
     private val events = object : PeerEvents {
         override fun onFeedVersions(versions: FeedVersions) =
             Feed.entries.filter { versions.of(it) > state.rows(it).newestVersion }
@@ -53,11 +56,14 @@
         serverChannels += callers.listen()
         loop.execute(source::start)
         loop.execute(MemberRow(context, platform.table)::maintain)
-        loop.execute(::runTick)
+        scheduleTick(TICK_MILLISECONDS)
         scheduleEvery(REPORT_MILLISECONDS) {
             load.flush { instance, message -> hub.sendLoad(instance, message, context.clock()) }
         }
-        scheduleEvery(IDLE_CHECK_MILLISECONDS, ::closeIdleConnections)
+        scheduleEvery(IDLE_CHECK_MILLISECONDS) {
+            links.closeIdle()
+            state.configuration?.let { callers.closeIdle(it.bounds.idleMilliseconds * IDLE_PERCENT / PERCENT) }
+        }
         log.event(
             "started",
             "instance" to settings.instance,
@@ -90,11 +96,6 @@
         log.event("stopped", "instance" to settings.instance, "open" to flow.inFlight)
     }
 
-    private fun onRowsChanged() {
-        pools.tick(context.clock())
-        flow.onServersChanged()
-    }
-
     private fun readiness(path: String): HttpAnswer {
         val ready = path.substringBefore('?') == platform.readyPath && isReady()
         return HttpAnswer(if (ready) OK else UNAVAILABLE, emptyMap(), "")
@@ -103,43 +104,36 @@
     private fun isReady(): Boolean =
         !flow.isStopping && state.configuration != null && state.rows(Feed.SERVERS).version != null
 
-    /** Runs a tick and schedules the next one, soon only if decisions may be due. */
-    @Suppress("TooGenericExceptionCaught")
-    private fun runTick() {
-        try {
-            tick()
-        } catch (exception: RuntimeException) {
-            log.fault("a tick failed", "cause" to exception.stackTraceToString())
-        }
-        val isBusy = pools.hasWaiting || coordinator.isCoordinating
-        loop.schedule(::runTick, if (isBusy) TICK_MILLISECONDS else IDLE_TICK_MILLISECONDS, TimeUnit.MILLISECONDS)
-    }
-
-    private fun tick() {
+    /** Makes the decisions that are due; returns whether more may be due soon. */
+    private fun tick(): Boolean {
         val now = context.clock()
         if (state.expire(now)) flow.onServersChanged()
         pools.tick(now)
         hub.tick(now)
         source.tick(now)
         coordinator.tick()
+        return pools.hasWaiting || coordinator.isCoordinating
     }
 
-    private fun closeIdleConnections() {
-        links.closeIdle()
-        state.configuration?.let { callers.closeIdle(it.bounds.idleMilliseconds * IDLE_PERCENT / PERCENT) }
+    private fun scheduleTick(milliseconds: Long) {
+        val run = {
+            val isBusy = guarded { tick() } ?: true
+            scheduleTick(if (isBusy) TICK_MILLISECONDS else IDLE_TICK_MILLISECONDS)
+        }
+        loop.schedule(run, milliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun scheduleEvery(milliseconds: Long, action: () -> Unit) {
+        loop.scheduleWithFixedDelay({ guarded(action) }, milliseconds, milliseconds, TimeUnit.MILLISECONDS)
     }
 
     /** An exception in one run must not cancel the later ones. */
     @Suppress("TooGenericExceptionCaught")
-    private fun scheduleEvery(milliseconds: Long, action: () -> Unit) {
-        val guarded = {
-            try {
-                action()
-            } catch (exception: RuntimeException) {
-                log.fault("a periodic task failed", "cause" to exception.stackTraceToString())
-            }
-        }
-        loop.scheduleWithFixedDelay(guarded, milliseconds, milliseconds, TimeUnit.MILLISECONDS)
+    private fun <T> guarded(action: () -> T): T? = try {
+        action()
+    } catch (exception: RuntimeException) {
+        log.fault("a periodic task failed", "cause" to exception.stackTraceToString())
+        null
     }
 
     private fun waitUntil(end: Long, condition: () -> Boolean) {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
@@ -101,7 +101,8 @@
         if (now - lastGossipAt >= GOSSIP_MILLISECONDS) {
             lastGossipAt = now
             val connected = links.values.map { it.member }
-            val others = connected.ifEmpty { context.state.shared.members.values - self() }
+            val self = setOfNotNull(context.state.shared.members[context.settings.instance])
+            val others = connected.ifEmpty { context.state.shared.members.values - self }
             others.randomOrNull()?.let { other -> linkTo(other).sendMessage(PeerMessage(ping = true), now) }
         }
         links.values.filter { it.isTimedOut(now) || it.isIdle(now) }.forEach { it.abandon() }
@@ -128,8 +129,6 @@
             ?: duties.dispatchersIn(context.settings.domain).firstOrNull(::isReachable)
     }
 
-    private fun self() = setOfNotNull(context.state.shared.members[context.settings.instance])
-
     private fun recordLoss(member: Member, silent: Boolean) {
         val now = context.clock()
         val isNew = reachability.recordLoss(member.instance, member.domain, silent, now)
