Join with fewer calls to the store, and wait for rows that are on their way

Change: the row is written as soon as the shared rows are read, only these are read again, and an instance reads for itself after it has been behind for 400 ms.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -57,9 +57,13 @@
 
     /** Another instance has a row of [version]. Until this one has it too, [staleSince] is set. */
     fun onNewerVersion(version: Long) {
-        val now = context.clock()
-        if (!isBehind) behindSince = now
+        if (!isBehind) behindSince = context.clock()
         behindVersion = version
+    }
+
+    /** Reads the table if newer rows have been known elsewhere for so long at [now] that they will not arrive here. */
+    fun catchUp(now: Long) {
+        if (!isBehind || now - behindSince < ARRIVAL_MILLISECONDS) return
         if (now - startedAt < if (isActive) REPEAT_AFTER_MILLISECONDS else SINGLE_READ_TIMEOUT_MILLISECONDS) return
         context.log.event("feed.behind", "feed" to feed, "version" to context.state.rows(feed).version)
         if (isActive) follow() else readOnce()
@@ -156,6 +160,9 @@
         /** Shorter than for other feeds, since owners change in quick succession while keys move. */
         const val SHARED_DELAY_MILLISECONDS = 20L
 
+        /** Rows that another instance has usually arrive here within this time, over the reader or a call in flight. */
+        const val ARRIVAL_MILLISECONDS = 400L
+
         /** A call in flight for less than this is not repeated when another instance has newer rows. */
         const val REPEAT_AFTER_MILLISECONDS = 500L
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberRow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberRow.kt
@@ -14,8 +14,13 @@
     fun maintain() {
         val shared = context.state.shared
         val isCurrent = shared.members[self.instance] == self
-        if (!isCurrent && context.state.rows(Feed.SHARED).version != null) write()
-        val wait = if (isCurrent) CHECK_MILLISECONDS else WRITE_MILLISECONDS
+        val isRead = context.state.rows(Feed.SHARED).version != null
+        if (!isCurrent && isRead) write()
+        val wait = when {
+            !isRead -> FIRST_READ_MILLISECONDS
+            isCurrent -> CHECK_MILLISECONDS
+            else -> WRITE_MILLISECONDS
+        }
         context.loop.schedule(::maintain, wait, TimeUnit.MILLISECONDS)
     }
 
@@ -30,6 +35,9 @@
     }
 
     private companion object {
+        /** Interval of checks until the shared rows have been read. */
+        const val FIRST_READ_MILLISECONDS = 50L
+
         /** Time for a write to arrive in the feed of shared rows before it is repeated. */
         const val WRITE_MILLISECONDS = 700L
         const val CHECK_MILLISECONDS = 5_000L
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -39,8 +39,9 @@
 
     /** Chooses the reader at [now], and starts or stops reading the table accordingly. */
     fun tick(now: Long) {
-        if (!isRegistered(now)) return readOnce(now, UNREGISTERED_READ_MILLISECONDS)
+        if (!isRegistered(now)) return readOnce(now, UNREGISTERED_READ_MILLISECONDS, listOf(Feed.SHARED))
         resignIfFailing(now)
+        followers.values.forEach { it.catchUp(now) }
         subscription?.takeIf { it.isTimedOut(now) }?.let { onReaderLost(it, sinceFailureMilliseconds = null) }
         val reader = choice.choose(readers(context), now) ?: self
         val reads = reader == self || !subscribers.isEmpty
@@ -87,10 +88,10 @@
         return self in context.state.shared.members || (known && now - startedAt > REGISTRATION_MILLISECONDS)
     }
 
-    private fun readOnce(now: Long, interval: Long) {
+    private fun readOnce(now: Long, interval: Long, feeds: Collection<Feed> = Feed.entries) {
         if (now - lastReadAt < interval) return
         lastReadAt = now
-        followers.values.forEach { it.readOnce() }
+        feeds.forEach { followers.getValue(it).readOnce() }
     }
 
     /** An instance that can't read the table resigns as reader until it has read the table again. */
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/StoreProxy.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/StoreProxy.kt
@@ -8,6 +8,7 @@
 import rhubarbspool.edge.HttpHandler
 import rhubarbspool.model.Address
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Forwards calls to [store]. */
 class StoreProxy(private val store: HttpHandler) : HttpHandler {
@@ -18,8 +19,13 @@
     @Volatile
     var isSilent: Boolean = false
 
-    override fun handle(call: HttpCall): CompletableFuture<HttpAnswer> =
-        if (isSilent) CompletableFuture() else store.handle(call).thenCompose(::respondUnlessSilent)
+    /** Number of calls so far. */
+    val calls = AtomicInteger()
+
+    override fun handle(call: HttpCall): CompletableFuture<HttpAnswer> {
+        calls.incrementAndGet()
+        return if (isSilent) CompletableFuture() else store.handle(call).thenCompose(::respondUnlessSilent)
+    }
 
     private fun respondUnlessSilent(answer: HttpAnswer): CompletableFuture<HttpAnswer> =
         if (isSilent) CompletableFuture() else CompletableFuture.completedFuture(answer)
