Make the ownership fuzzer split ranges, and check that it does

Cause: one key in 512 was followed and busy, and each of the 128 ranges has 512 keys, so that a range had one busy key, which can't be divided. No range was split. Change: one key in 128 is followed, hot areas have twelve keys, and the last case has five times as many of them, since its takeovers join ranges again. The bound stays. All 13 cases held one holder for each key; the last one reached 170 ranges before its change and passes after it.

--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipFuzzTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipFuzzTest.kt
@@ -34,7 +34,7 @@
             OwnershipFaults(hotArea = 0.02, unanswered = 0.05, delayed = 0.05, takeover = 0.003, drain = 0.001),
         "all" to OwnershipFaults(0.001, 0.05, 0.05, 0.001, 0.001, 0.002, 0.001, 0.001, 0.001, 0.001),
         "all with hot areas" to
-            OwnershipFaults(0.001, 0.05, 0.05, 0.001, 0.001, 0.002, 0.001, 0.001, 0.001, 0.001, hotArea = 0.01),
+            OwnershipFaults(0.001, 0.05, 0.05, 0.001, 0.001, 0.002, 0.001, 0.001, 0.001, 0.001, hotArea = 0.05),
     )
 
     val initialRanges = OwnershipPlan.rangeCount(1)
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipSimulation.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipSimulation.kt
@@ -264,8 +264,8 @@
         const val RANGES = 24
 
         /** One key in this many is followed by the oracle. */
-        private const val KEY_STEP = 512
-        private const val HOT_KEYS = 6
+        private const val KEY_STEP = 128
+        private const val HOT_KEYS = 12
         private const val HOT_REQUESTS = 12
         private const val SERVERS = 6
         private const val DOMAINS = 3
