--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntrySettings.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntrySettings.kt
@@ -46,4 +46,7 @@
     val notExecuted: String,
     val load: String,
     val key: String,
-)
+) {
+    /** All names. */
+    internal val all: List<String> get() = listOf(requestId, timeout, target, signature, notExecuted, load, key)
+}
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
@@ -26,6 +26,9 @@
 ) {
     private val retryAllowances = HashMap<ServiceName, RetryAllowance>()
 
+    /** Headers of servers' responses that are not interpreted. */
+    val unknownHeaders = UnknownHeaders(names, process.log)
+
     /** Retry budget of this instance for [service]. */
     fun retryAllowance(service: ServiceName): RetryAllowance = retryAllowances.getOrPut(service) {
         RetryAllowance(process.settings.retryRatio, process.settings.retryWindowMilliseconds)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerCall.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerCall.kt
@@ -71,6 +71,7 @@
             body.release()
             return
         }
+        context.unknownHeaders.observe(head.headers)
         val outcome = head.outcome(context.names)
         val duration = context.process.clock() - sentAt
         if (outcome == CallOutcome.ANSWERED) context.load.recordAnswer(state.service, entry.server, duration)
