--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/KeyedServerStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/KeyedServerStandIn.kt
@@ -37,11 +37,20 @@
 ) : HttpHandler {
     private val granted = GrantedKeys()
     private val runs = ArrayList<String>()
+    private val arrivals = ArrayList<Long>()
 
     /** Fault in force. */
     @Volatile
     var fault: ServerFault = ServerFault.NONE
 
+    /** Requests per second that the server names in its responses as its limit; null for none. */
+    @Volatile
+    var limit: Double? = null
+
+    /** Times at which requests arrived, including rejected ones, in nanoseconds. */
+    @Synchronized
+    fun arrivals(): List<Long> = arrivals.toList()
+
     /** Ids of the requests that were run, in the order of their start. */
     @Synchronized
     fun runs(): List<String> = runs.toList()
@@ -75,8 +84,10 @@
         body.getValue("from").jsonPrimitive.int..body.getValue("target").jsonPrimitive.int
 
     private fun respond(call: HttpCall): CompletableFuture<HttpAnswer> {
+        arrivals += System.nanoTime()
         val requestId = call.headers["rhubarbspool-request-id"].orEmpty()
-        val echo = mapOf("Rhubarbspool-Request-Id" to requestId, "Rhubarbspool-Server-Load" to "1,0,2,100")
+        val echo = mapOf("Rhubarbspool-Request-Id" to requestId, "Rhubarbspool-Server-Load" to "1,0,2,100") +
+            limit?.let { mapOf("Rhubarbspool-Server-Limit" to "$it") }.orEmpty()
         val wrongServer = call.headers["rhubarbspool-target-instance"]?.let { it != id } ?: false
         return when {
             wrongServer || !owns(call.headers["rhubarbspool-shard-key"]?.toIntOrNull()) ->
