Send a server that names a limit no more than that, whichever instances the requests come through

Cause: an instance read the load report of a response and nothing else; slots limit how many requests run at once, not how many come in a second. Ruled out: several dispatchers (one issued all permits of a server), permits that were used late (none waited over 0.7 s).

Now the dispatching instance of a server spends its limit for all instances, from a bucket that starts empty. An instance that was told a limit sends it along with its slot requests, so that another dispatcher knows it before its first permit. One that only stands in spends two fifths, which fits beside the whole limit within the bound. What the limit does not let through goes to other servers of the pool, or is refused at once with the time until there is room. Key ranges whose load is beyond the limit of their owner move away. A limit ends with the first regular response without one to a request that followed the last one with it.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/Pool.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/Pool.kt
@@ -17,15 +17,19 @@
 class Pool internal constructor(order: QueueOrder, limit: QueueLimit) {
     constructor() : this(QueueOrder.ADAPTIVE, QueueLimit.BY_LOAD)
 
-    private class IssuedPermit(val ticket: Ticket, val server: ServerName)
+    private class IssuedPermit(val ticket: Ticket, val server: ServerName, val issuedAt: Long)
 
     private val servers = PoolServers(limit)
     private val queue = TicketQueue(order)
+    private val admission = PoolAdmission(servers, queue)
     private val permits = HashMap<Pair<String, Long>, IssuedPermit>()
 
     /** Number of waiting requests. */
     val queued: Int get() = queue.size
 
+    /** Whether another instance may dispatch for the same servers, and this one only stands in for it. */
+    var isStandIn: Boolean by servers::isStandIn
+
     /** Number of permits that were issued and have not ended. */
     val inFlight: Int get() = permits.size
 
@@ -38,17 +42,22 @@
         return dispatch(now)
     }
 
+    /** Another instance was told [limit] by [server] in a response at [namedAt]; it applies from [now] on. */
+    fun recordLimit(server: ServerName, limit: Double, namedAt: Long, now: Long) {
+        servers[server]?.limit?.name(limit, namedAt, now)
+    }
+
     /** Dispatches, enqueues or refuses [ticket] at [now]; returns the decisions, also about other tickets. */
     fun submit(ticket: Ticket, now: Long): List<PoolDecision> {
         servers.arrivalRate.record(now)
         return when {
-            !servers.anyAvailable(ticket, now) ->
+            !servers.anyAvailable(now, ticket.avoid) ->
                 listOf(PoolDecision.Refuse(ticket, PoolRefusal.NO_SERVER, NO_SERVER_RETRY_AFTER_MILLISECONDS))
-            (queue.size > 0 || !servers.hasCapacity(ticket, now)) && shouldReject(ticket, now) ->
+            (queue.size > 0 || !servers.hasCapacity(ticket, now)) && admission.shouldReject(ticket, now) ->
                 listOf(refuse(ticket, now))
             else -> {
                 queue.add(ticket)
-                dispatch(now) + shedExcess(ticket, now)
+                dispatch(now) + refuseAll(listOfNotNull(admission.excess(ticket, now)), now)
             }
         }
     }
@@ -57,9 +66,10 @@
     fun complete(owner: String, id: Long, end: CallResult, now: Long): List<PoolDecision> {
         val permit = permits.remove(owner to id) ?: return emptyList()
         val server = servers[permit.server]
-        server?.onResult(end, now)
+        server?.onResult(end, permit.issuedAt, now)
         if (end.outcome == CallOutcome.ANSWERED && server?.isCold(now) == false) servers.track(end.durationMilliseconds)
-        return dispatch(now)
+        val refusals = if (end.limit == null) emptyList() else refuseAll(admission.unservable(now), now)
+        return refusals + dispatch(now)
     }
 
     /**
@@ -76,11 +86,7 @@
     /** Refuses requests that can no longer be answered at [now], reclaims lost permits and dispatches others. */
     fun tick(now: Long): List<PoolDecision> {
         reclaim { now > it.deadlineAt + LOST_PERMIT_MILLISECONDS }
-        val minimumServiceTime = servers.meanServiceTime * MINIMUM_SERVICE_TIME_SHARE
-        val unservable =
-            queue.tickets.filter { now + minimumServiceTime > it.deadlineAt || !servers.anyAvailable(it, now) }
-        queue.remove { it in unservable }
-        return unservable.map { refuse(it, now) } + dispatch(now)
+        return refuseAll(admission.unservable(now), now) + dispatch(now)
     }
 
     private fun reclaim(matches: (Ticket) -> Boolean) = permits.values.filter { matches(it.ticket) }.forEach { permit ->
@@ -88,24 +94,6 @@
         servers[permit.server]?.onCancelled()
     }
 
-    private fun shouldReject(ticket: Ticket, now: Long): Boolean = when (ticket.mode) {
-        WaitMode.FREE_SLOT -> true
-        WaitMode.IN_TIME -> {
-            val queuedAhead = queue.countAhead(ticket, servers.meanServiceTime, now)
-            now + servers.waitTime(queuedAhead, now) + servers.meanServiceTime > ticket.dueAt
-        }
-        WaitMode.UNTIL_DEADLINE -> now + servers.meanServiceTime > ticket.deadlineAt
-    }
-
-    /** Refuses the lowest ranked request when more are waiting than can be answered in time. */
-    private fun shedExcess(newest: Ticket, now: Long): List<PoolDecision> {
-        val limit = servers.queueLimit(newest.dueAt - now, now)
-        if (queue.size <= limit) return emptyList()
-        val lowestRanked = queue.ordered(servers.meanServiceTime, limit, now).last()
-        queue.remove { it === lowestRanked }
-        return listOf(refuse(lowestRanked, now))
-    }
-
     private fun dispatch(now: Long): List<PoolDecision> {
         if (queue.size == 0) return emptyList()
         val limit = servers.queueLimit(queue.newest.dueAt - now, now)
@@ -113,12 +101,18 @@
             servers.choose(ticket, now)?.let { server ->
                 queue.remove { it === ticket }
                 server.onPermit(now)
-                permits[ticket.owner to ticket.id] = IssuedPermit(ticket, server.entry.server)
+                permits[ticket.owner to ticket.id] = IssuedPermit(ticket, server.entry.server, now)
                 PoolDecision.Permit(ticket, server.entry.server)
             }
         }
     }
 
+    private fun refuseAll(tickets: List<Ticket>, now: Long): List<PoolDecision> {
+        if (tickets.isEmpty()) return emptyList()
+        queue.remove { it in tickets }
+        return tickets.map { refuse(it, now) }
+    }
+
     private fun refuse(ticket: Ticket, now: Long): PoolDecision {
         val reason = if (servers.anyAvailable(now)) PoolRefusal.OVERLOADED else PoolRefusal.NO_SERVER
         val wait = servers.waitTime(queue.size + 1, now).toLong()
@@ -126,9 +120,6 @@
     }
 
     private companion object {
-        /** Share of the mean service time that fast requests take; one with less time left is refused. */
-        const val MINIMUM_SERVICE_TIME_SHARE = 0.5
-
         /** A pool without servers gets some when entries change, which takes a fraction of a second. */
         const val NO_SERVER_RETRY_AFTER_MILLISECONDS = 300L
         const val MINIMUM_RETRY_AFTER_MILLISECONDS = 50L
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServer.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServer.kt
@@ -15,8 +15,10 @@
     private var failures = 0
     private var blockedUntil = Long.MIN_VALUE / 2
     private var faultAverage = 0.0
-    private var coldTokens = 1.0
-    private var coldTokensAt = now
+    private val coldTokens = TokenBucket(1.0, now)
+
+    /** The limit that the server has named, if any. */
+    val limit = ServerLimit(now)
 
     /** Number of permits that were issued for this server and have not ended. */
     var inFlight: Int = 0
@@ -31,8 +33,9 @@
      */
     fun hasCapacity(now: Long, coldRate: Double?): Boolean {
         val probing = failures > 0 && inFlight > 0
-        return inFlight < entry.slots && now >= blockedUntil && !probing &&
-            (!isCold(now) || hasColdToken(now, coldRate))
+        val isTooCold =
+            isCold(now) && coldRate != null && coldTokens.refill(coldRate, MAXIMUM_COLD_TOKENS, now) < 1
+        return inFlight < entry.slots && now >= blockedUntil && !probing && !isTooCold && limit.allows(now)
     }
 
     /** Whether the server has started too recently to be at full speed at [now]. */
@@ -56,10 +59,17 @@
         return base * machineFactor * coldFactor
     }
 
+    /** Slots that requests of [serviceTime] milliseconds can keep in use under the server's limit. */
+    fun usableSlots(serviceTime: Double): Double {
+        val slots = entry.slots.toDouble()
+        return limit.sentPerSecond?.let { minOf(slots, it / MILLISECONDS_PER_SECOND * serviceTime) } ?: slots
+    }
+
     /** Counts a permit that is issued at [now]. */
     fun onPermit(now: Long) {
         inFlight++
-        if (isCold(now)) coldTokens -= 1
+        if (isCold(now)) coldTokens.take()
+        limit.onPermit()
     }
 
     /** Frees the slot of a permit whose call was cancelled or never reported. */
@@ -67,9 +77,16 @@
         inFlight = maxOf(0, inFlight - 1)
     }
 
-    /** Frees the slot of a call that ended at [now] and updates the estimates from its [result]. */
-    fun onResult(result: CallResult, now: Long) {
+    /**
+     * Frees the slot of a call that was permitted at [permittedAt] and ended at [now], and updates the estimates from
+     * its [result].
+     */
+    fun onResult(result: CallResult, permittedAt: Long, now: Long) {
         inFlight = maxOf(0, inFlight - 1)
+        when {
+            result.limit != null -> limit.name(result.limit, now, now)
+            result.outcome == CallOutcome.ANSWERED -> limit.lift(permittedAt, now)
+        }
         if (result.load != null) {
             slowdownPercent = result.load.percent
             slowdownAt = now
@@ -102,13 +119,6 @@
         blockedUntil = now + backOffMilliseconds
     }
 
-    private fun hasColdToken(now: Long, rate: Double?): Boolean {
-        if (rate == null) return true
-        coldTokens = minOf(MAXIMUM_COLD_TOKENS, coldTokens + (now - coldTokensAt) * rate / MILLISECONDS_PER_SECOND)
-        coldTokensAt = now
-        return coldTokens >= 1
-    }
-
     private companion object {
         const val NORMAL_PERCENT = 100
         const val MILLISECONDS_PER_SECOND = 1_000.0
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServers.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServers.kt
@@ -11,6 +11,13 @@
     private val servers = LinkedHashMap<ServerName, PoolServer>()
     private var coldRate: Double? = null
 
+    /** Whether another instance may send requests to the same servers within their limits. */
+    var isStandIn: Boolean = false
+        set(value) {
+            field = value
+            servers.values.forEach { it.limit.isStandIn = value }
+        }
+
     /** Rate of submitted requests, including refused ones. */
     val arrivalRate = ArrivalRate()
 
@@ -25,7 +32,7 @@
         entries.forEach { entry ->
             val known = servers[entry.server]
             if (known == null || known.entry.bornWall != entry.bornWall) {
-                servers[entry.server] = PoolServer(entry, now)
+                servers[entry.server] = PoolServer(entry, now).also { it.limit.isStandIn = isStandIn }
             } else {
                 known.entry = entry
             }
@@ -34,12 +41,19 @@
 
     operator fun get(server: ServerName): PoolServer? = servers[server]
 
-    /** Whether any available server may get [ticket], now or later. */
-    fun anyAvailable(ticket: Ticket, now: Long): Boolean =
-        servers.values.any { it.isAvailable(now) && it.entry.server !in ticket.avoid }
+    /** Whether any server that is not in [avoid] is available, now or later. */
+    fun anyAvailable(now: Long, avoid: Set<ServerName> = emptySet()): Boolean =
+        servers.values.any { it.isAvailable(now) && it.entry.server !in avoid }
 
-    /** Whether any server is available. */
-    fun anyAvailable(now: Long): Boolean = servers.values.any { it.isAvailable(now) }
+    /**
+     * Milliseconds until the limits of the servers let a request with [ahead] others before it pass; null unless all
+     * available servers have named a limit.
+     */
+    fun limitedWait(ahead: Int, now: Long): Double? {
+        val available = servers.values.filter { it.isAvailable(now) }
+        val isUnlimited = available.any { it.limit.requestsPerSecond == null }
+        return if (isUnlimited) null else available.minOfOrNull { it.limit.waitTime(ahead / available.size, now) }
+    }
 
     /** Whether a server has capacity for [ticket] now. */
     fun hasCapacity(ticket: Ticket, now: Long): Boolean = free(ticket, now).isNotEmpty()
@@ -48,7 +62,10 @@
     fun waitTime(queuedAhead: Int, now: Long): Double {
         val fit = servers.values.filter { it.isAvailable(now) }
         val free = fit.count { it.hasCapacity(now, coldRate) }
-        val rate = fit.sumOf { it.entry.slots / it.expectedTime(meanServiceTime, now) }
+        val rate = fit.sumOf { server ->
+            val serviceTime = server.expectedTime(meanServiceTime, now)
+            server.usableSlots(serviceTime) / serviceTime
+        }
         return when {
             queuedAhead < free -> 0.0
             rate <= 0 -> NO_SERVER_WAIT_MILLISECONDS
@@ -58,7 +75,7 @@
 
     /** How many requests may wait at [now] when the newest is due in [timeToDue]. */
     fun queueLimit(timeToDue: Long, now: Long): Int {
-        val slots = servers.values.filter { it.isAvailable(now) }.sumOf { it.entry.slots }
+        val slots = servers.values.filter { it.isAvailable(now) }.sumOf { it.usableSlots(meanServiceTime) }
         return limit.limitFor(PoolLoad(timeToDue, meanServiceTime, slots, arrivalRate.at(now)))
     }
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/QueueLimit.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/QueueLimit.kt
@@ -10,17 +10,18 @@
  *
  * @property timeToDue milliseconds until the newest request is due.
  * @property meanServiceTime mean service time of a request in milliseconds.
- * @property slots total slots of all servers.
+ * @property slots total slots of all servers, as far as limits that the servers have named let requests use them.
  * @property arrivalsPerSecond submitted requests per second, including refused ones.
  */
 internal data class PoolLoad(
     val timeToDue: Long,
     val meanServiceTime: Double,
-    val slots: Int,
+    val slots: Double,
     val arrivalsPerSecond: Double,
 ) {
     /** Slots that all arriving requests would occupy, as a share of the existing slots. */
-    val utilisation: Double get() = arrivalsPerSecond * meanServiceTime / MILLISECONDS_PER_SECOND / maxOf(1, slots)
+    val utilisation: Double
+        get() = arrivalsPerSecond * meanServiceTime / MILLISECONDS_PER_SECOND / (if (slots > 0) slots else 1.0)
 
     /** Number of requests that can wait with the last of them still answered by its due time. */
     val servableInTime: Double get() = (timeToDue - meanServiceTime) * slots / meanServiceTime
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/Ticket.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/Ticket.kt
@@ -76,8 +76,18 @@
  */
 data class LoadReport(val running: Int, val waiting: Int, val percent: Int)
 
-/** Result of a call that took [durationMilliseconds]; [load] is what the server reported in its response. */
-data class CallResult(val outcome: CallOutcome, val durationMilliseconds: Long, val load: LoadReport? = null)
+/**
+ * Result of a call that took [durationMilliseconds].
+ *
+ * @property load load that the server reported in its response.
+ * @property limit requests per second that the server takes from all instances together, if it named a limit.
+ */
+data class CallResult(
+    val outcome: CallOutcome,
+    val durationMilliseconds: Long,
+    val load: LoadReport? = null,
+    val limit: Double? = null,
+)
 
 /** Decision of a pool about one ticket. */
 sealed interface PoolDecision {
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/KeyLoad.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/KeyLoad.kt
@@ -11,6 +11,7 @@
 class KeyLoad {
     private val rates = HashMap<Int, Double>()
     private val means = HashMap<ServerName, Double>()
+    private val limits = HashMap<ServerName, Double>()
     private var decayedAt: Long? = null
 
     /** Requests per second for each range of [document]. */
@@ -45,6 +46,14 @@
         means[server] = previous + weight * (mean - previous)
     }
 
+    /** Records the [limit] that [server] named in its last response, in requests per second; null if it named none. */
+    fun recordLimit(server: ServerName, limit: Double?) {
+        if (limit == null) limits.remove(server) else limits[server] = limit
+    }
+
+    /** Requests per second that [server] takes, as it named in its last response; null if it named no limit. */
+    fun limitOf(server: ServerName): Double? = limits[server]
+
     /** Applies the decay since the last call to all rates; keys without recent requests are dropped. */
     fun decay(now: Long) {
         val elapsed = now - (decayedAt ?: now)
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LoadPlan.kt
@@ -1,7 +1,8 @@
 /*
- * Moves ranges from busy servers to idle ones, the most effective move first. A hot key or a slow server makes an owner
- * busy. A server that has just joined gets its share of ranges even if no server is busy. A range with more load than
- * one server should carry is split first, so that several servers can share neighbouring busy keys.
+ * Moves ranges from busy servers to idle ones, the most effective move first. A hot key, a slow server or a limit that
+ * a server names makes an owner busy. A server that has just joined gets its share of ranges even if no server is busy.
+ * A range with more load than one server should carry is split first, so that several servers can share neighbouring
+ * busy keys.
  */
 package rhubarbspool.ownership
 
@@ -59,18 +60,22 @@
         return cuts
     }
 
-    private class Server(val candidate: Candidate, val meanMilliseconds: Double) {
+    private class Server(val candidate: Candidate, meanMilliseconds: Double, limit: Double?) {
+        private val slotRate = candidate.weight * MILLISECONDS_PER_SECOND / meanMilliseconds
+        private val maximumRate = if (limit == null) slotRate else minOf(slotRate, maxOf(limit, MINIMUM_LIMIT))
         val ranges = ArrayList<Int>()
         var utilization = 0.0
 
-        /** Fraction of the server's slots that a range with [rate] requests per second uses. */
-        fun utilizationOf(rate: Double): Double =
-            (rate + BASE_RATE) * meanMilliseconds / MILLISECONDS_PER_SECOND / candidate.weight
+        /** Fraction of what the server can take that a range with [rate] requests per second uses. */
+        fun utilizationOf(rate: Double): Double = (rate + BASE_RATE) / maximumRate
     }
 
     private class Distribution(document: OwnershipDocument, candidates: List<Candidate>, load: KeyLoad) {
         private val rates = load.ratesOf(document)
-        private val servers = candidates.map { Server(it, load.meanMilliseconds(it.owner.server)) }
+        private val servers = candidates.map { candidate ->
+            val server = candidate.owner.server
+            Server(candidate, load.meanMilliseconds(server), load.limitOf(server))
+        }
         private val fairRangeCount = document.ranges.toDouble() / candidates.size
 
         init {
@@ -136,6 +141,9 @@
     /** Rate added to that of every range, so that ranges are spread evenly before there is load. */
     private const val BASE_RATE = 0.01
 
+    /** Keeps the utilization of a server finite that takes no requests. */
+    private const val MINIMUM_LIMIT = 0.25
+
     /** Below this utilization requests rarely wait for a slot. */
     private const val BUSY_UTILIZATION = 0.35
 
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/LoadPlanTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/LoadPlanTest.kt
@@ -57,6 +57,17 @@
         after shouldBeLessThan before / 2
     }
 
+    test("ranges leave a server whose named limit is below their load") {
+        val document = initialDocument()
+        val load = evenLoad()
+        val limited = owners[0].server
+        load.recordLimit(limited, 0.5)
+        val rebalanced = rebalance(document, load)
+        val rates = load.ratesOf(rebalanced)
+        val left = rebalanced.ownerOf.indices.filter { rebalanced.owner(it)?.server == limited }.sumOf { rates[it] }
+        left shouldBeLessThanOrEqual 0.5
+    }
+
     test("a hot key on a slow server moves to a fast one") {
         val document = initialDocument()
         val load = KeyLoad()
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -26,7 +26,7 @@
     private val metrics = Metrics()
     private val state = EntryState(platform.decoder, log)
     private val context = ProcessContext(settings, state, loop, log, EntryMetrics(metrics), ProcessClock::now)
-    private val pools = PoolService(state)
+    private val pools = PoolService(context)
     private val transport = PeerTransport(group, log)
     private val coordinator = CoordinatorRunner(context, platform.table, platform.orders)
     private val source: RowSource = RowSource(context, transport, platform.table) {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntrySettings.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntrySettings.kt
@@ -36,6 +36,7 @@
  * @property signature a server's proof that a response is its own.
  * @property notExecuted present where a server did not run the request.
  * @property load a server's load report.
+ * @property limit requests per second that a server takes from all instances together, as long as it names them.
  * @property key the key of a request to a sharded service.
  */
 data class HeaderNames(
@@ -45,8 +46,9 @@
     val signature: String,
     val notExecuted: String,
     val load: String,
+    val limit: String,
     val key: String,
 ) {
     /** All names. */
-    internal val all: List<String> get() = listOf(requestId, timeout, target, signature, notExecuted, load, key)
+    internal val all: List<String> get() = listOf(requestId, timeout, target, signature, notExecuted, load, limit, key)
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LoadCounter.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LoadCounter.kt
@@ -10,7 +10,7 @@
 
 /** Load of sharded services since the last report. */
 internal class LoadCounter(private val state: EntryState) {
-    private class Answers(var count: Int = 0, var milliseconds: Long = 0)
+    private class Answers(var count: Int = 0, var milliseconds: Long = 0, var limit: Double? = null)
 
     private class Counts {
         val keys = HashMap<Int, Int>()
@@ -24,12 +24,13 @@
         services.getOrPut(service.name) { Counts() }.keys.merge(key, 1, Int::plus)
     }
 
-    /** Counts a response of [server] of [service] after [milliseconds]. */
-    fun recordAnswer(service: TrafficService, server: ServerName, milliseconds: Long) {
+    /** Counts a response of [server] of [service] after [milliseconds], which named [limit] if any. */
+    fun recordAnswer(service: TrafficService, server: ServerName, milliseconds: Long, limit: Double?) {
         if (!service.sharded) return
         val answers = services.getOrPut(service.name) { Counts() }.servers.getOrPut(server) { Answers() }
         answers.count++
         answers.milliseconds += milliseconds
+        answers.limit = limit
     }
 
     /** Calls [send] with the coordinator and the counts of each service, and resets the counts. */
@@ -51,6 +52,7 @@
             servers.map { it.key.text },
             servers.map { it.value.count },
             servers.map { it.value.milliseconds },
+            servers.map { it.value.limit ?: NO_LIMIT },
         )
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
@@ -44,6 +44,7 @@
         report.keys.forEachIndexed { index, key -> load.recordRequests(key, report.counts[index], now) }
         report.servers.forEachIndexed { index, server ->
             load.recordAnswers(ServerName(server), report.answers[index], report.milliseconds[index])
+            report.limits.getOrNull(index)?.let { load.recordLimit(ServerName(server), it.takeIf { it != NO_LIMIT }) }
         }
     }
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
@@ -6,7 +6,6 @@
 import rhubarbspool.model.Address
 import rhubarbspool.model.FailureDomainName
 import rhubarbspool.model.InstanceName
-import rhubarbspool.placement.InstanceReachability
 
 /** A slot request that was sent; [withdraw] or [done] ends it. */
 internal class PendingSlotRequest(
@@ -44,7 +43,7 @@
     /** Name of this process as a client of pools. */
     val self = "${context.settings.instance}/${context.clock()}"
     private val links = HashMap<Address, PeerLink>()
-    private val reachability = InstanceReachability()
+    private val reachability = context.reachability
     private val localCallbacks = HashMap<Long, (DecisionMessage) -> Unit>()
     private var nextId = 0L
     private var lastGossipAt = 0L
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
@@ -10,11 +10,18 @@
 import rhubarbspool.dispatch.PoolRefusal
 import rhubarbspool.dispatch.WaitMode
 
+/** Stands for the limit of a server that names none. */
+internal const val NO_LIMIT = -1.0
+
 /** A pool: the servers of [service] in [domain], or the one [server] of a sharded service. */
 @Serializable
 internal data class PoolName(val service: String, val domain: String, val server: String = "")
 
-/** Requests a slot of [pool]. */
+/** A limit that [server] named [namedAgo] milliseconds ago. */
+@Serializable
+internal data class LimitMessage(val server: String, val requestsPerSecond: Double, val namedAgo: Long)
+
+/** Requests a slot of [pool]; [limits] holds what the asker knows of limits that servers of the pool have named. */
 @Serializable
 internal data class SlotRequestMessage(
     val id: Long,
@@ -24,6 +31,7 @@
     val deadlineIn: Long,
     val mode: WaitMode,
     val avoid: List<String> = emptyList(),
+    val limits: List<LimitMessage> = emptyList(),
 )
 
 /** Decision about a slot request; neither [server] nor [refusal] is set while the request is queued. */
@@ -45,7 +53,11 @@
     val running: Int = -1,
     val waiting: Int = 0,
     val percent: Int = 0,
+    @SerialName("limit") private val encodedLimit: Double = NO_LIMIT,
 ) {
+    /** The limit that the server named, in requests per second, if any. */
+    val limit: Double? get() = encodedLimit.takeIf { it != NO_LIMIT }
+
     /** The load that the server reported, if any. */
     val load: LoadReport? get() = if (running < 0) null else LoadReport(running, waiting, percent)
 }
@@ -86,7 +98,7 @@
  *
  * @property keys keys with requests; [counts] holds the number of requests of each.
  * @property servers servers that responded; [answers] holds the number of responses of each, and [milliseconds] their
- * total duration.
+ * total duration, and [limits] the limit that each named last, or [NO_LIMIT].
  */
 @Serializable
 internal data class LoadMessage(
@@ -96,6 +108,7 @@
     val servers: List<String>,
     val answers: List<Int>,
     val milliseconds: List<Long>,
+    val limits: List<Double> = emptyList(),
 )
 
 /** One message; at most one of the requests, decisions and reports is set, and [news] may be added to any message. */
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Permit.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Permit.kt
@@ -16,10 +16,15 @@
     val holder: InstanceName get() = ask.dispatcher
 
     /**
-     * Returns the permit: the call ended with [outcome] after [durationMilliseconds]; [load] is what the server
-     * reported, if anything.
+     * Returns the permit: the call ended with [outcome] after [durationMilliseconds]; [load] and [limit] are what the
+     * server reported, if anything.
      */
-    fun complete(outcome: CallOutcome, durationMilliseconds: Long, load: ServerLoad?) {
+    fun complete(
+        outcome: CallOutcome,
+        durationMilliseconds: Long,
+        load: ServerLoad? = null,
+        limit: Double? = null,
+    ) {
         if (isCompleted) return
         isCompleted = true
         context.process.metrics.recordCall(outcome.name)
@@ -31,6 +36,7 @@
             load?.running ?: -1,
             load?.waiting ?: 0,
             load?.percent ?: 0,
+            limit ?: NO_LIMIT,
         )
         ask.done(done, context.process.clock())
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolSearch.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolSearch.kt
@@ -84,7 +84,9 @@
         val now = context.process.clock()
         val avoid = if (pool.server.isEmpty()) state.triedServers.map { it.text } else emptyList()
         val dueIn = state.dueAt - now
-        val message = SlotRequestMessage(0, pool, state.route.priority, dueIn, state.deadlineAt - now, mode, avoid)
+        val deadlineIn = state.deadlineAt - now
+        val limits = context.limits.of(pool, now)
+        val message = SlotRequestMessage(0, pool, state.route.priority, dueIn, deadlineIn, mode, avoid, limits)
         var earlyDecision: DecisionMessage? = null
         var submitted: PendingSlotRequest? = null
         submitted = context.hub.requestSlot(message, now) { decision ->
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
@@ -19,7 +19,8 @@
 }
 
 /** The pools of this instance. */
-internal class PoolService(private val state: EntryState) {
+internal class PoolService(private val context: ProcessContext) {
+    private val state = context.state
     private class TrackedPool(val pool: Pool, var lastUsedAt: Long)
 
     private val pools = HashMap<PoolName, TrackedPool>()
@@ -49,7 +50,11 @@
      */
     fun submit(owner: String, message: SlotRequestMessage, now: Long) {
         val tracked = pools.getOrPut(message.pool) {
-            TrackedPool(Pool(), now).also { update(message.pool, it.pool, now) }
+            val pool = Pool().also { it.isStandIn = context.isStandInFor(message.pool, now) }
+            TrackedPool(pool, now).also { update(message.pool, pool, now) }
+        }
+        message.limits.forEach {
+            tracked.pool.recordLimit(ServerName(it.server), it.requestsPerSecond, now - it.namedAgo, now)
         }
         tracked.lastUsedAt = now
         val ticket = Ticket(
@@ -74,7 +79,7 @@
             pool.complete(
                 owner,
                 message.id,
-                CallResult(message.outcome, message.durationMilliseconds, message.load),
+                CallResult(message.outcome, message.durationMilliseconds, message.load, message.limit),
                 now,
             )
         )
@@ -95,6 +100,7 @@
             now - tracked.lastUsedAt > UNUSED_MILLISECONDS && tracked.pool.inFlight == 0
         }
         pools.forEach { (name, tracked) ->
+            tracked.pool.isStandIn = context.isStandInFor(name, now)
             if (hasChanged || mayLoseServers(name)) update(name, tracked.pool, now)
             if (tracked.pool.queued > 0 || tracked.pool.inFlight > 0) deliver(tracked.pool.tick(now))
         }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
@@ -5,6 +5,7 @@
 
 import io.netty.channel.EventLoop
 import rhubarbspool.model.Now
+import rhubarbspool.placement.InstanceReachability
 
 /** Settings, state and clock of the process; all its code runs on the event loop [loop]. */
 internal class ProcessContext(
@@ -19,6 +20,9 @@
     var settings: EntrySettings = settings
         private set
 
+    /** Which other instances can be reached from here. */
+    val reachability = InstanceReachability()
+
     /** Which instances perform duties for others. */
     val duties = DutyRanking(state.shared)
 
@@ -36,6 +40,12 @@
         settings = kept
     }
 
+    /** Whether the preferred dispatcher of [pool] is another instance, which may be at work at [now]. */
+    fun isStandInFor(pool: PoolName, now: Long): Boolean {
+        val preferred = duties.dispatchersOf(pool).firstOrNull()?.instance
+        return preferred == null || (preferred != settings.instance && !reachability.isAvoided(preferred, now))
+    }
+
     /** Monotonic milliseconds. */
     fun clock(): Long = now().monotonic
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
@@ -26,6 +26,9 @@
 ) {
     private val retryAllowances = HashMap<ServiceName, RetryAllowance>()
 
+    /** Limits that servers have named. */
+    val limits = ServerLimits(process.state.directory, process.log)
+
     /** Headers of servers' responses that are not interpreted. */
     val unknownHeaders = UnknownHeaders(names, process.log)
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerCall.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerCall.kt
@@ -48,7 +48,7 @@
     /** Cancels the call with [outcome]; the server drops the request. */
     fun cancel(outcome: CallOutcome) {
         if (permit.isCompleted) return
-        permit.complete(outcome, context.process.clock() - sentAt, null)
+        permit.complete(outcome, context.process.clock() - sentAt)
         exchange?.abort()
     }
 
@@ -73,9 +73,11 @@
         }
         context.unknownHeaders.observe(head.headers)
         val outcome = head.outcome(context.names)
-        val duration = context.process.clock() - sentAt
-        if (outcome == CallOutcome.ANSWERED) context.load.recordAnswer(state.service, entry.server, duration)
-        permit.complete(outcome, duration, ServerLoad.of(head.headers.get(context.names.load)))
+        val now = context.process.clock()
+        val duration = now - sentAt
+        val limit = context.limits.record(entry, head.limit(context.names), outcome, sentAt, now)
+        if (outcome == CallOutcome.ANSWERED) context.load.recordAnswer(state.service, entry.server, duration, limit)
+        permit.complete(outcome, duration, ServerLoad.of(head.headers.get(context.names.load)), limit)
         val isRefused = outcome == CallOutcome.SHED || outcome == CallOutcome.MISDIRECTED
         if (isRefused) {
             state.runs--
@@ -92,6 +94,8 @@
 
     override fun onStreamStarted(head: ServerHead) {
         streamHead = head
+        val limit = head.limit(context.names)
+        context.limits.record(entry, limit, CallOutcome.ANSWERED, sentAt, context.process.clock())
         listener.onStreamStarted()
         end.startStream(head)
     }
@@ -104,13 +108,14 @@
     override fun onStreamEnded() {
         val head = streamHead ?: return
         val durationMilliseconds = context.process.clock() - sentAt
-        permit.complete(CallOutcome.ANSWERED, durationMilliseconds, ServerLoad.of(head.headers.get(context.names.load)))
+        val load = ServerLoad.of(head.headers.get(context.names.load))
+        permit.complete(CallOutcome.ANSWERED, durationMilliseconds, load, head.limit(context.names))
         end.endStream(head, entry.server)
     }
 
     override fun onBroken(cause: BreakCause, streaming: Boolean) {
         if (permit.isCompleted) return
-        permit.complete(CallOutcome.BROKEN, context.process.clock() - sentAt, null)
+        permit.complete(CallOutcome.BROKEN, context.process.clock() - sentAt)
         context.process.log.request(
             state.id,
             "broken",
@@ -129,7 +134,7 @@
             channel == null -> {
                 state.refusals++
                 state.triedServers += entry.server
-                permit.complete(CallOutcome.UNREACHABLE, 0, null)
+                permit.complete(CallOutcome.UNREACHABLE, 0)
                 listener.onCallFailed(CallOutcome.UNREACHABLE)
             }
             else -> send(channel)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerHead.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerHead.kt
@@ -18,6 +18,10 @@
             return seconds?.toLongOrNull()?.times(MILLISECONDS_PER_SECOND) ?: DEFAULT_KEEP_ALIVE_MILLISECONDS
         }
 
+    /** The limit that the server names, in requests per second; null if it names none that can be read. */
+    fun limit(names: HeaderNames): Double? =
+        headers.get(names.limit)?.trim()?.takeIf(DECIMAL_NUMBER::matches)?.toDouble()
+
     /**
      * Whether the response can be relayed: a successful one must carry the server's signature and a request id and must
      * not be encoded.
@@ -37,6 +41,7 @@
 
     companion object {
         private val SUCCESS_STATUSES = 200..299
+        private val DECIMAL_NUMBER = Regex("[0-9]{1,12}([.][0-9]{1,12})?")
         private val BODILESS_STATUSES = setOf(204, 304)
         private const val MISDIRECTED_STATUS = 421
         private const val FIRST_SERVER_ERROR = 500
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/KeyedServerStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/KeyedServerStandIn.kt
@@ -13,6 +13,7 @@
 import rhubarbspool.edge.HttpCall
 import rhubarbspool.edge.HttpHandler
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 
 /** Faults to inject. */
@@ -37,7 +38,7 @@
 ) : HttpHandler {
     private val granted = GrantedKeys()
     private val runs = ArrayList<String>()
-    private val arrivals = ArrayList<Long>()
+    private val arrivalTimes = CopyOnWriteArrayList<Long>()
 
     /** Fault in force. */
     @Volatile
@@ -48,8 +49,7 @@
     var limit: Double? = null
 
     /** Times at which requests arrived, including rejected ones, in nanoseconds. */
-    @Synchronized
-    fun arrivals(): List<Long> = arrivals.toList()
+    val arrivals: List<Long> get() = arrivalTimes.toList()
 
     /** Ids of the requests that were run, in the order of their start. */
     @Synchronized
@@ -84,10 +84,10 @@
         body.getValue("from").jsonPrimitive.int..body.getValue("target").jsonPrimitive.int
 
     private fun respond(call: HttpCall): CompletableFuture<HttpAnswer> {
-        arrivals += System.nanoTime()
+        arrivalTimes += System.nanoTime()
         val requestId = call.headers["rhubarbspool-request-id"].orEmpty()
         val echo = mapOf("Rhubarbspool-Request-Id" to requestId, "Rhubarbspool-Server-Load" to "1,0,2,100") +
-            limit?.let { mapOf("Rhubarbspool-Server-Limit" to "$it") }.orEmpty()
+            limit?.let { mapOf("Server-Limit" to "$it") }.orEmpty()
         val wrongServer = call.headers["rhubarbspool-target-instance"]?.let { it != id } ?: false
         return when {
             wrongServer || !owns(call.headers["rhubarbspool-shard-key"]?.toIntOrNull()) ->
