--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/LocalPlatform.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/LocalPlatform.kt
@@ -28,6 +28,7 @@
     private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
     private val channels = ArrayList<Channel>()
     private val instances = ArrayList<AutoCloseable>()
+    private val reports = HashMap<String, Int>()
 
     /** The platform's store. */
     val store = RowStoreStandIn()
@@ -49,10 +50,11 @@
         return server
     }
 
-    /** Writes the entry of server [id]. */
+    /** Writes the entry of server [id], as its next report. */
     fun putServerEntry(id: String, service: String, domain: String, address: Address, state: String) {
+        val sequence = reports.merge(id, 1, Int::plus)
         val info = """{"service":"$service","version":"v1","zone":"$domain","slots":2}"""
-        val status = """{"state":"$state","seq":1,"warmup_left":"0ms"}"""
+        val status = """{"state":"$state","seq":$sequence,"warmup_left":"0ms"}"""
         store.put("servers", id, """{"address":"$address","born":$BORN,"info":$info,"status":$status}""")
     }
 
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/RowStoreStandIn.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/RowStoreStandIn.kt
@@ -19,7 +19,6 @@
 import rhubarbspool.edge.HttpCall
 import rhubarbspool.edge.HttpHandler
 import java.util.Base64
-import java.util.TreeMap
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
@@ -45,17 +44,10 @@
 
 /** Rows in memory; thread-safe. */
 class RowStoreStandIn : HttpHandler {
-    private data class Key(val table: String, val key: String) : Comparable<Key> {
-        override fun compareTo(other: Key): Int = compareValuesBy(this, other, Key::table, Key::key)
-    }
-
-    private data class Row(val value: String?, val version: Long)
-
     private class PendingFeed(val table: String, val after: Long, val answer: CompletableFuture<HttpAnswer>)
 
-    private val rows = TreeMap<Key, Row>()
+    private val rows = StoreRows()
     private val pendingFeeds = ArrayList<PendingFeed>()
-    private var version = 0L
 
     /** Fault in force. */
     @Volatile
@@ -68,26 +60,37 @@
     /** Writes [text] to a row, or removes the row if it is null; returns the row's new version. */
     @Synchronized
     fun put(table: String, key: String, text: String?): Long {
-        version++
-        rows[Key(table, key)] = Row(text?.let { Base64.getEncoder().encodeToString(it.toByteArray()) }, version)
+        rows.write(mapOf(RowKey(table, key) to text?.let { Base64.getEncoder().encodeToString(it.toByteArray()) }))
         notifyFeeds()
-        return version
+        return rows.version
+    }
+
+    /** The present rows, for [restore]. */
+    @Synchronized
+    fun backup(): StoreBackup = rows.backup()
+
+    /** Loses all changes since [backup], like a store that returns from a copy. Connections of waiting calls end. */
+    @Synchronized
+    fun restore(backup: StoreBackup) {
+        rows.restore(backup)
+        pendingFeeds.forEach { it.answer.completeExceptionally(IllegalStateException("restored")) }
+        pendingFeeds.clear()
     }
 
     /** Value of a row; null if there is no such row. */
     @Synchronized
     fun text(table: String, key: String): String? =
-        rows[Key(table, key)]?.value?.let { String(Base64.getDecoder().decode(it)) }
+        rows[RowKey(table, key)]?.value?.let { String(Base64.getDecoder().decode(it)) }
 
     override fun handle(call: HttpCall): CompletableFuture<HttpAnswer> {
         synchronized(this) { callCount++ }
         val write = call.method == "POST"
         return when (fault) {
-            StoreFault.BUSY -> respond(BUSY, "{}")
+            StoreFault.BUSY -> rows.respond(BUSY, "{}")
             StoreFault.SILENT -> CompletableFuture()
             StoreFault.RESET -> CompletableFuture.failedFuture(IllegalStateException("reset"))
             StoreFault.LOST_WRITES -> if (write) CompletableFuture<HttpAnswer>().also { serve(call) } else serve(call)
-            StoreFault.HISTORY_LOST -> if ("feed" in call.path) respond(GONE, "{}") else serve(call)
+            StoreFault.HISTORY_LOST -> if ("feed" in call.path) rows.respond(GONE, "{}") else serve(call)
             StoreFault.NONE -> serve(call)
         }
     }
@@ -97,27 +100,29 @@
         val query = call.path.substringAfter('?', "").split('&').filter { '=' in it }
             .associate { it.substringBefore('=') to it.substringAfter('=') }
         return when (call.path.substringBefore('?')) {
-            "/api/rows-get" -> respond(OK, scan(query).toString())
+            "/api/rows-get" -> rows.respond(OK, scan(query).toString())
             "/api/rows-feed" -> feed(query)
             "/api/rows-tx" -> transaction(Json.parseToJsonElement(call.body).jsonObject)
-            else -> respond(NOT_FOUND, "{}")
+            else -> rows.respond(NOT_FOUND, "{}")
         }
     }
 
     private fun scan(query: Map<String, String>): JsonObject {
-        val matching = rows.filter { (key, row) ->
-            key.table == query["table"] && key.key >= query["from"].orEmpty() && row.value != null
+        val matching = rows.select(query.getValue("table")) { key, row ->
+            key.key >= query["from"].orEmpty() && row.value != null
         }
-        return page(matching.entries.take(query["limit"]?.toInt() ?: Int.MAX_VALUE).associate { it.key to it.value })
+        val limit = query["limit"]?.toInt() ?: Int.MAX_VALUE
+        return rows.page(matching.entries.take(limit).associate { it.key to it.value })
     }
 
     private fun feed(query: Map<String, String>): CompletableFuture<HttpAnswer> {
         val pendingFeed = PendingFeed(query.getValue("table"), query.getValue("after").toLong(), CompletableFuture())
+        if (pendingFeed.after > rows.version) return rows.respond(GONE, "{}")
         val waitMilliseconds = query["wait_ms"]?.toLong() ?: 0
         pendingFeeds += pendingFeed
         notifyFeeds()
         pendingFeed.answer.completeOnTimeout(
-            HttpAnswer(OK, JSON_TYPE, page(emptyMap()).toString()),
+            rows.answer(OK, rows.page(emptyMap()).toString()),
             waitMilliseconds,
             TimeUnit.MILLISECONDS
         )
@@ -127,16 +132,16 @@
     private fun notifyFeeds() {
         pendingFeeds.removeAll { it.answer.isDone }
         pendingFeeds.toList().forEach { feed ->
-            val changed = rows.filter { (key, row) -> key.table == feed.table && row.version > feed.after }
+            val changed = rows.select(feed.table) { _, row -> row.version > feed.after }
             if (changed.isNotEmpty()) {
                 pendingFeeds -= feed
-                feed.answer.complete(HttpAnswer(OK, JSON_TYPE, page(changed).toString()))
+                feed.answer.complete(rows.answer(OK, rows.page(changed).toString()))
             }
         }
     }
 
     private fun transaction(body: JsonObject): CompletableFuture<HttpAnswer> {
-        fun key(entry: JsonObject) = Key(
+        fun key(entry: JsonObject) = RowKey(
             entry.getValue("table").jsonPrimitive.content,
             entry.getValue("key").jsonPrimitive.content
         )
@@ -147,45 +152,46 @@
         }
         if (failed) {
             val current = conditions.mapNotNull { entry -> rows[key(entry)]?.let { key(entry) to it } }.toMap()
-            return respond(CONFLICT, page(current).toString())
+            return rows.respond(CONFLICT, rows.page(current).toString())
         }
-        version++
-        body["set_keys"]?.jsonArray.orEmpty().map { it.jsonObject }
-            .forEach { rows[key(it)] = Row(it.getValue("value").jsonPrimitive.content, version) }
-        body["remove"]?.jsonArray.orEmpty().map { it.jsonObject }.forEach { rows[key(it)] = Row(null, version) }
+        val written = body["set_keys"]?.jsonArray.orEmpty().map { it.jsonObject }
+            .associate { key(it) to it.getValue("value").jsonPrimitive.content }
+        val removed = body["remove"]?.jsonArray.orEmpty().map { it.jsonObject }.associate { key(it) to null }
+        rows.write(written + removed)
         notifyFeeds()
-        return respond(OK, buildJsonObject { put("ver", version) }.toString())
+        return rows.respond(OK, buildJsonObject { put("ver", rows.version) }.toString())
     }
+}
 
-    private fun page(matching: Map<Key, Row>): JsonObject = buildJsonObject {
-        put("truncated", JsonPrimitive(false))
-        put("ver", version)
-        put("now", "0ms")
-        put(
-            "rows",
-            buildJsonArray {
-                matching.forEach { (key, row) ->
-                    addJsonObject {
-                        put("table", key.table)
-                        put("part", "")
-                        put("key", key.key)
-                        put("ver", row.version)
-                        if (row.value == null) put("deleted", true) else put("value", row.value)
-                    }
+private fun StoreRows.page(matching: Map<RowKey, StoredRow>): JsonObject = buildJsonObject {
+    put("truncated", JsonPrimitive(false))
+    put("ver", version)
+    put("now", "0ms")
+    put(
+        "rows",
+        buildJsonArray {
+            matching.forEach { (key, row) ->
+                addJsonObject {
+                    put("table", key.table)
+                    put("part", "")
+                    put("key", key.key)
+                    put("ver", row.version)
+                    if (row.value == null) put("deleted", true) else put("value", row.value)
                 }
-            },
-        )
-    }
+            }
+        },
+    )
+}
 
-    private fun respond(status: Int, body: String): CompletableFuture<HttpAnswer> =
-        CompletableFuture.completedFuture(HttpAnswer(status, JSON_TYPE, body))
+private fun StoreRows.respond(status: Int, body: String): CompletableFuture<HttpAnswer> =
+    CompletableFuture.completedFuture(answer(status, body))
 
-    private companion object {
-        const val OK = 200
-        const val NOT_FOUND = 404
-        const val GONE = 410
-        const val CONFLICT = 412
-        const val BUSY = 503
-        val JSON_TYPE = mapOf("content-type" to "application/json")
-    }
-}
+private fun StoreRows.answer(status: Int, body: String) =
+    HttpAnswer(status, JSON_TYPE + ("Store-Era" to "$era"), body)
+
+private const val OK = 200
+private const val NOT_FOUND = 404
+private const val GONE = 410
+private const val CONFLICT = 412
+private const val BUSY = 503
+private val JSON_TYPE = mapOf("content-type" to "application/json")
