Tell rows of a restored store from those of before, and write again what it lost

Cause: a version alone was taken for the order of events. A store that returns from a copy gives versions out again, so newer rows looked old. All rows and conditions of writes had the same fault: members, owners of keys with lower tokens, the lease with an earlier holder, entries of servers that have left.

Versions now carry the store's epoch above its own number, so that whatever is read after a restoration is newer. What comes from the copy does not replace what is known to be later: configurations go by their own version, servers by start and report, owners by the revision of their document. The coordinator writes the owners again; if it ended and nobody knows the last document, the next one waits until all grants have run out and continues above all tokens. The lease is kept while it lasts, and otherwise nobody takes it before the time for which an earlier holder might have it has passed. Members write themselves again. A late response from before, and a write whose version may have matched by chance, count as failed.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
@@ -68,23 +68,26 @@
     }
 
     /**
-     * Records that the row has [holder] and [version], 0 if there is no row. Drops the lease if another process holds
-     * it.
+     * Records that the row has [holder] and [version], 0 if there is no row, in the table's [epoch]. Drops the lease if
+     * another process holds it. A table that was restored has an earlier holder, so the lease is then kept while it
+     * lasts, since all others wait for longer than that, and is dropped otherwise.
      */
-    fun onRowRead(holder: String?, version: Long, now: Now) {
-        if (row.onRowRead(holder, version, now.monotonic) && holder != self) relinquish()
+    fun onRowRead(holder: String?, version: Long, now: Now, epoch: Long = 0) {
+        val isRestored = row.isRestored(epoch)
+        if (!row.onRowRead(holder, version, epoch, now.monotonic)) return
+        if (if (isRestored) !isHeld(now) else holder != self) relinquish()
     }
 
     /** Records that reading the row failed, which restarts the wait for a takeover. */
     fun onReadFailed(now: Now) = row.onReadFailed(now.monotonic)
 
     /** Records that the write succeeded as [version]; the lease starts at the time that the write was sent. */
-    fun onWritten(version: Long, now: Now) {
+    fun onWritten(version: Long, now: Now, epoch: Long = 0) {
         heldSince = writeInFlight
         writeInFlight = null
         lastWriteFailed = false
         isInterrupted = false
-        row.onRowRead(self, version, now.monotonic)
+        row.onRowRead(self, version, epoch, now.monotonic)
     }
 
     /** Records that the write failed or that its outcome is unknown; the row is read again. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LeaseRow.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LeaseRow.kt
@@ -6,6 +6,8 @@
 /** The row as seen by [self]: an instance, its address and, after the last slash, the incarnation of its process. */
 internal class LeaseRow(private val self: String) {
     private var unchangedSince = 0L
+    private var epoch = 0L
+    private var restoredAt = NEVER
 
     /** Version of the row; 0 if there is no row, negative until it was read or written. */
     var version = NOT_READ
@@ -18,10 +20,17 @@
     /** Whether the row has been read or written. */
     val isKnown: Boolean get() = version != NOT_READ
 
-    /** Records that the row has [holder] and [version]; returns false if a newer version is known. */
-    fun onRowRead(holder: String?, version: Long, now: Long): Boolean {
-        if (version < this.version) return false
-        if (version != this.version) unchangedSince = now
+    /** Whether the table was restored since the row was last known, if it is in [epoch] now. */
+    fun isRestored(epoch: Long): Boolean = isKnown && epoch > this.epoch
+
+    /**
+     * Records that the row has [holder] and [version] in the table's [epoch]; returns false if a newer one is known.
+     */
+    fun onRowRead(holder: String?, version: Long, epoch: Long, now: Long): Boolean {
+        if (epoch < this.epoch || (epoch == this.epoch && version < this.version)) return false
+        if (epoch > this.epoch) restoredAt = now
+        if (epoch > this.epoch || version != this.version) unchangedSince = now
+        this.epoch = epoch
         this.version = version
         this.holder = holder
         return true
@@ -36,9 +45,10 @@
     fun mayWrite(rank: Int, now: Long): Boolean {
         val unchangedFor = now - unchangedSince
         val rankDelay = rank * RANK_DELAY_MILLISECONDS
+        val isPresent = now - restoredAt >= CoordinatorLease.TAKEOVER_MILLISECONDS
         return when {
-            version == 0L -> unchangedFor >= rankDelay
-            holder == self || isPreviousIncarnation() -> true
+            version == 0L && isPresent -> unchangedFor >= rankDelay
+            isPresent && (holder == self || isPreviousIncarnation()) -> true
             else -> unchangedFor >= CoordinatorLease.TAKEOVER_MILLISECONDS + rankDelay
         }
     }
@@ -50,6 +60,7 @@
 
     private companion object {
         const val NOT_READ = -1L
+        const val NEVER = Long.MIN_VALUE / 2
 
         /** Delay per rank, so that the writes of several instances do not conflict. */
         const val RANK_DELAY_MILLISECONDS = 350L
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipCoordinator.kt
@@ -27,6 +27,9 @@
     private var rebalancedAt = startedAt
     private var lastServerCount = 0
     private var serversChangedAt = startedAt
+
+    /** Whether the table may have lost the document, which is then written again. */
+    var mustRewrite: Boolean = false
     private val isUnassigned: Boolean get() = document.owners.isEmpty()
 
     /** Returns the effects to execute at [now], including at most [maxCalls] calls to servers. */
@@ -87,7 +90,8 @@
     /** Chooses the number of ranges before the first assignment; later, ranges are only split. */
     private fun partition(servers: Int, now: Long) {
         val ranges = OwnershipPlan.rangeCount(servers)
-        document = OwnershipDocument.empty(ranges, document.fences.max()).copy(coordinator = document.coordinator)
+        document = OwnershipDocument.empty(ranges, document.fences.max())
+            .copy(coordinator = document.coordinator, revision = document.revision)
         holds = HoldTable(ranges, now, isNew = true)
         planner = CallPlanner(holds)
     }
@@ -98,12 +102,14 @@
         owners: Set<Owner>,
         now: Now,
     ): List<OwnershipEffect> {
-        val mayWrite = changesInFlight == null && candidates.isNotEmpty() && haveServersSettled(view, now.monotonic) &&
-            now.monotonic - writeStartedAt >= WRITE_INTERVAL_MILLISECONDS
+        val isFree =
+            changesInFlight == null && now.monotonic - writeStartedAt >= WRITE_INTERVAL_MILLISECONDS
+        val mayWrite = candidates.isNotEmpty() && haveServersSettled(view, now.monotonic) && isFree
         if (mayWrite && isUnassigned) partition(candidates.size, now.monotonic)
         val reassignable =
             if (mayWrite) document.ownerOf.indices.filter { isReassignable(it, view, owners, now) } else emptyList()
-        if (reassignable.isEmpty()) return emptyList()
+        if (reassignable.isEmpty() && !(mustRewrite && isFree)) return emptyList()
+        mustRewrite = false
         val targeted = reassignable
             .mapNotNull { range -> holds[range].target?.takeIf { it in owners }?.let { range to it } }
             .toMap()
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipDocument.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipDocument.kt
@@ -26,6 +26,8 @@
  * @property fences fencing token of each range; always even, so that the next odd token is free for a fencing grant to
  * the holder before a release.
  * @property starts first key of each range, ascending; ranges of equal size unless given.
+ * @property revision grows with each document that is written.
+ * @property epoch how often the table had been restored from a copy when the document was written to it.
  */
 @Serializable
 data class OwnershipDocument(
@@ -34,6 +36,8 @@
     val fences: List<Long>,
     val coordinator: String = "",
     val starts: List<Int> = equalStarts(ownerOf.size),
+    val revision: Long = 0,
+    val epoch: Long = 0,
 ) {
     /** Number of ranges. */
     val ranges: Int get() = ownerOf.size
@@ -60,6 +64,7 @@
             fences.mapIndexed { range, fence -> if (range in changes) fence + FENCE_STEP else fence },
             coordinator,
             starts,
+            revision + 1,
         )
     }
 
@@ -87,9 +92,17 @@
             fences = kept.zip(ends) { first, end -> (first until end).maxOf(fences::get) + FENCE_STEP },
             coordinator = coordinator,
             starts = kept.map(starts::get),
+            revision = revision + 1,
         )
     }
 
+    /** Returns a document with as many ranges, no owners, and tokens above all that may have followed in this one. */
+    fun withoutOwners(): OwnershipDocument =
+        empty(ranges, fences.max() + UNKNOWN_FENCES).copy(coordinator = coordinator, revision = revision)
+
+    /** Whether this document is a later revision than the one in [text]; true if there is none. */
+    fun isLaterThan(text: String?): Boolean = revision > (text?.let(::decodeOrNull)?.revision ?: -1)
+
     /** This document as JSON. */
     fun encode(): String = JSON.encodeToString(serializer(), this)
 
@@ -102,6 +115,9 @@
 
         private const val NO_OWNER = -1
         private const val FENCE_STEP = 2L
+
+        /** More tokens than a range can use up between two documents, at one move every 80 ms for hours. */
+        private const val UNKNOWN_FENCES = 1_000_000L
         private val JSON = Json { ignoreUnknownKeys = true }
 
         /** A document without owners, whose tokens are [fence]. */
@@ -111,6 +127,13 @@
         /** Parses [text]; throws [IllegalArgumentException] if it is not a valid document. */
         fun decode(text: String): OwnershipDocument = JSON.decodeFromString(serializer(), text)
 
+        /** Parses [text]; null if it is not a valid document. */
+        private fun decodeOrNull(text: String): OwnershipDocument? = try {
+            decode(text)
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+
         private fun equalStarts(ranges: Int): List<Int> =
             List(ranges) { ((it.toLong() * KEYS + ranges - 1) / ranges).toInt() }
     }
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/BackendEntry.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/BackendEntry.kt
@@ -17,6 +17,7 @@
  * @property bornWall wall time of its start in milliseconds; identifies the incarnation together with [server].
  * @property slots most requests that it runs concurrently.
  * @property coldUntil time on the monotonic clock of this process until which the server is cold.
+ * @property sequence counts the reports of the incarnation.
  */
 data class BackendEntry(
     val server: ServerName,
@@ -27,4 +28,5 @@
     val slots: Int,
     val state: ServerState,
     val coldUntil: Long,
+    val sequence: Long = 0,
 )
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/traffic/ServerDirectory.kt
@@ -15,6 +15,7 @@
     private val missingSince = HashMap<ServerName, Long>()
     private val drainingSince = HashMap<ServerName, Long>()
     private val evacuatedSince = HashMap<FailureDomainName, Long>()
+    private val resurfaced = ResurfacedEntries()
 
     /** Number of changes so far. */
     var changes: Long = 0
@@ -64,8 +65,18 @@
         return changed
     }
 
-    /** Adds or replaces [entry] at [now]. */
-    fun put(entry: BackendEntry, now: Long) {
+    /**
+     * Adds or replaces [entry] at [now]. An entry that is [fromCopy], the first one read from a restored table, is
+     * ignored if a later report of the server is known, and held back if the server has left since.
+     */
+    fun put(entry: BackendEntry, now: Long, fromCopy: Boolean = false) {
+        val known = entries[entry.server]
+        if (fromCopy && resurfaced.isOutdated(entry, known, now)) {
+            val isLastReport = known?.isLaterThan(entry) == false
+            if (isLastReport) missingSince.remove(entry.server)
+            return
+        }
+        resurfaced.release(entry.server)
         missingSince.remove(entry.server)
         val isDraining = entry.state == ServerState.DRAINING
         if (isDraining) drainingSince.putIfAbsent(entry.server, now) else drainingSince.remove(entry.server)
@@ -77,20 +88,28 @@
      * since it may be registered again. Returns whether it was dropped.
      */
     fun remove(server: ServerName, now: Long, afterOutage: Boolean = false): Boolean {
+        resurfaced.release(server)
         val mayReturn = server in entries && afterOutage
         if (mayReturn) missingSince.putIfAbsent(server, now)
         return server in entries && !mayReturn && drop(server)
     }
 
-    /** Drops servers whose entry is still missing at [now] after the time to register again; returns them. */
-    fun expire(now: Long): List<ServerName> =
-        missingSince.filterValues { hasElapsed(it, REREGISTRATION_MILLISECONDS, now) }.keys.toList().onEach(::drop)
+    /**
+     * Drops servers whose entry is still missing at [now] after the time to register again, and adds those whose
+     * entries were held back for long enough; returns both.
+     */
+    fun expire(now: Long): List<ServerName> {
+        val lapsed =
+            missingSince.filterValues { hasElapsed(it, REREGISTRATION_MILLISECONDS, now) }.keys.toList().onEach(::drop)
+        val returned = resurfaced.takeDue(now).onEach { put(it, now) }
+        return lapsed + returned.map { it.server }
+    }
 
     private fun drop(server: ServerName): Boolean {
         missingSince.remove(server)
         drainingSince.remove(server)
         changes++
-        return entries.remove(server) != null
+        return entries.remove(server)?.also(resurfaced::recordEnd) != null
     }
 
     private companion object {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -9,7 +9,7 @@
 
 /** State that is decoded from the rows of all feeds; changed on the event loop only. */
 internal class EntryState(private val decoder: RowDecoder, private val log: DecisionLog) {
-    private val feeds = Feed.entries.associateWith { FeedRows() }
+    private val feeds = Feed.entries.associateWith { FeedRows(keepsLostRows = it != Feed.SERVERS) }
 
     /** Backend servers. */
     val directory = ServerDirectory()
@@ -42,23 +42,26 @@
     /** Merges [page] of [feed] at [now]; returns whether it contained new rows. */
     fun merge(feed: Feed, page: FeedPage, now: Long): Boolean {
         val newRows = rows(feed).merge(page, now)
-        newRows.forEach { row -> decoder.decode(feed, row, now)?.let { merge(it, row.afterOutage, now - row.age) } }
+        newRows.forEach { row -> decoder.decode(feed, row, now)?.let { merge(it, row, now - row.age) } }
         changes++
         return newRows.isNotEmpty()
     }
 
-    /** Removes servers whose entries have been missing for too long at [now]; returns whether there were any. */
+    /**
+     * Removes servers whose entries have been missing for too long at [now], and adds those whose entries were held
+     * back after the table was restored; returns whether there were any.
+     */
     fun expire(now: Long): Boolean {
-        val expired = directory.expire(now)
-        expired.forEach { log.belief("server", "server" to it, "state" to "lapsed") }
-        return expired.isNotEmpty()
+        val changed = directory.expire(now)
+        changed.forEach { log.belief("server", "server" to it, "state" to (directory[it]?.state ?: "lapsed")) }
+        return changed.isNotEmpty()
     }
 
-    /** Merges [item], which an instance read from the table at [readAt]. */
-    private fun merge(item: FeedItem, afterOutage: Boolean, readAt: Long) = when (item) {
+    /** Merges [item], the contents of [row], which an instance read from the table at [readAt]. */
+    private fun merge(item: FeedItem, row: TableRow, readAt: Long) = when (item) {
         is FeedItem.Configuration -> applyConfiguration(item.configuration)
         is FeedItem.Evacuation -> applyEvacuation(item, readAt)
-        is FeedItem.Server -> applyServer(item, afterOutage, readAt)
+        is FeedItem.Server -> applyServer(item, row, readAt)
         is FeedItem.Shared -> shared.merge(item)
     }
 
@@ -81,13 +84,13 @@
         if (changed) log.belief("evacuation", "domain" to item.domain, "active" to item.active)
     }
 
-    private fun applyServer(item: FeedItem.Server, afterOutage: Boolean, readAt: Long) {
+    private fun applyServer(item: FeedItem.Server, row: TableRow, readAt: Long) {
         val before = directory[item.server]
         val wasMissing = directory.isEntryMissing(item.server)
         if (item.entry != null) {
-            directory.put(item.entry, readAt)
+            directory.put(item.entry, readAt, row.fromCopy)
         } else {
-            directory.remove(item.server, readAt, afterOutage)
+            directory.remove(item.server, readAt, row.afterOutage)
         }
         val after = directory[item.server]
         val isMissing = directory.isEntryMissing(item.server)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseRunner.kt
@@ -59,7 +59,7 @@
     private fun read() {
         table.readUnfollowed(KEY).whenComplete { row, failure ->
             if (failure == null) {
-                lease.onRowRead(row?.value, row?.version ?: 0, context.now())
+                lease.onRowRead(row?.value, row?.version ?: 0, context.now(), table.epoch)
             } else {
                 lease.onReadFailed(context.now())
             }
@@ -70,10 +70,10 @@
         table.write(KEY, followed = false, lease.expectedVersion, self).whenComplete { result, failure ->
             when {
                 failure != null -> lease.onWriteFailed()
-                result is WriteResult.Written -> lease.onWritten(result.version, context.now())
+                result is WriteResult.Written -> lease.onWritten(result.version, context.now(), table.epoch)
                 result is WriteResult.Conflict -> {
                     lease.onWriteFailed()
-                    lease.onRowRead(result.current?.value, result.current?.version ?: 0, context.now())
+                    lease.onRowRead(result.current?.value, result.current?.version ?: 0, context.now(), table.epoch)
                 }
             }
         }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberRow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberRow.kt
@@ -13,8 +13,9 @@
     /** Checks the row now and then periodically. */
     fun maintain() {
         val shared = context.state.shared
-        val isCurrent = shared.members[self.instance] == self
-        val isRead = context.state.rows(Feed.SHARED).version != null
+        val rows = context.state.rows(Feed.SHARED)
+        val isCurrent = shared.members[self.instance] == self && rows.isStored(Member.keyOf(self.instance))
+        val isRead = rows.version != null
         if (!isCurrent && isRead) write()
         val wait = when {
             !isRead -> FIRST_READ_MILLISECONDS
@@ -40,6 +41,6 @@
 
         /** Time for a write to arrive in the feed of shared rows before it is repeated. */
         const val WRITE_MILLISECONDS = 700L
-        const val CHECK_MILLISECONDS = 5_000L
+        const val CHECK_MILLISECONDS = 1_000L
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
@@ -5,6 +5,7 @@
 
 import rhubarbspool.model.Now
 import rhubarbspool.model.ServerName
+import rhubarbspool.ownership.HoldTimes
 import rhubarbspool.ownership.OwnershipCoordinator
 import rhubarbspool.ownership.OwnershipDocument
 import rhubarbspool.ownership.OwnershipEffect
@@ -25,6 +26,8 @@
     private var isFencing = false
     private var unconfirmed: OwnershipDocument? = null
     private var retryAt = 0L
+    private val startedAt = context.clock()
+    private var rewrittenEpoch = 0L
 
     /** Takes over the document if this has not happened yet; otherwise executes the effects that are due at [now]. */
     fun tick(view: OwnershipView, now: Now) {
@@ -32,6 +35,7 @@
         if (current == null) {
             fence(now.monotonic)
         } else {
+            rewriteIfRestored(current)
             unconfirmed?.takeIf { now.monotonic >= retryAt }?.let { write(current, it) }
             current.tick(view, CALLS_PER_TICK, now).forEach { execute(current, it) }
         }
@@ -55,14 +59,17 @@
     private fun fence(now: Long) {
         if (isFencing || now < retryAt) return
         val known = context.state.shared.ownership[service.name]
-        val document = (known?.document ?: OwnershipDocument.empty()).takenOverBy(context.settings.instance.text)
+        if (known?.isConfirmed == false && now - startedAt < HoldTimes.LONGEST_HOLD) return
+        val document = (known?.successor ?: OwnershipDocument.empty()).takenOverBy(context.settings.instance.text)
         isFencing = true
         retryAt = now + RETRY_MILLISECONDS
-        table.write(key, followed = true, known?.version ?: 0, document.encode()).whenComplete { result, failure ->
+        val text = document.copy(epoch = table.epoch).encode()
+        table.write(key, followed = true, known?.version ?: 0, text).whenComplete { result, failure ->
             isFencing = false
             when (result) {
                 is WriteResult.Written -> {
                     recordOwnership(document, result.version)
+                    rewrittenEpoch = TableVersion.epoch(result.version)
                     coordinator = OwnershipCoordinator(document, context.clock(), isNew = document.owners.isEmpty())
                 }
                 is WriteResult.Conflict -> onConflict(result)
@@ -71,10 +78,23 @@
         }
     }
 
+    /** A table that was restored lacks the last documents, which no other instance may take for the present ones. */
+    private fun rewriteIfRestored(current: OwnershipCoordinator) {
+        if (table.epoch <= rewrittenEpoch) return
+        rewrittenEpoch = table.epoch
+        context.log.belief("owners", "service" to service.name, "state" to "rewriting", "epoch" to rewrittenEpoch)
+        current.mustRewrite = true
+    }
+
     private fun onConflict(conflict: WriteResult.Conflict) {
-        val row = conflict.current ?: return
-        context.log.event("owners.conflict", "service" to service.name, "version" to row.version)
-        context.state.shared.merge(FeedItem.Shared(key, row.version, row.value))
+        val row = conflict.current
+        val shared = context.state.shared
+        context.log.event("owners.conflict", "service" to service.name, "version" to row?.version)
+        if (row == null) {
+            shared.ownership.computeIfPresent(service.name) { _, known -> known.copy(version = 0) }
+        } else {
+            shared.merge(FeedItem.Shared(key, row.version, row.value))
+        }
     }
 
     private fun recordOwnership(document: OwnershipDocument, writtenVersion: Long) {
@@ -92,13 +112,18 @@
 
     /** A write without a response may still be applied, so the same document is written until a write is confirmed. */
     private fun write(current: OwnershipCoordinator, document: OwnershipDocument) {
-        val text = document.encode()
+        val text = document.copy(epoch = table.epoch).encode()
         unconfirmed = null
         table.write(key, followed = true, version, text).whenComplete { result, failure ->
             val found = (result as? WriteResult.Conflict)?.current
+            val isRestored = TableVersion.epoch(version) < table.epoch
             when {
                 result is WriteResult.Written -> onWritten(current, document, result.version)
                 found != null && found.value == text -> onWritten(current, document, found.version)
+                result != null && isRestored && document.isLaterThan(found?.value) -> {
+                    version = found?.version ?: 0
+                    unconfirmed = document
+                }
                 result != null -> onSuperseded()
                 else -> {
                     context.log.event("owners.unwritten", "service" to service.name, "cause" to failure?.message)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
@@ -45,6 +45,7 @@
  *
  * @property age milliseconds since an instance read it from the table.
  * @property afterOutage whether it was read shortly after an outage of the table.
+ * @property fromCopy whether it is among the first rows read from a restored table; it may be older than what is known.
  */
 @Serializable
 data class TableRow(
@@ -53,6 +54,7 @@
     val value: String? = null,
     val age: Long = 0,
     val afterOutage: Boolean = false,
+    val fromCopy: Boolean = false,
 )
 
 /**
@@ -83,8 +85,13 @@
     data class Conflict(val current: TableRow?) : WriteResult
 }
 
-/** The platform's table. A call that was refused or got no response fails its future. */
+/**
+ * The platform's table. A call that was refused or got no response fails its future. All versions are [TableVersion]s.
+ */
 interface PlatformTable {
+    /** How often the table was restored from a copy, as of its last response. */
+    val epoch: Long
+
     /** All rows of [feed]. */
     fun scan(feed: Feed): CompletableFuture<FeedPage>
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/SharedRows.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/SharedRows.kt
@@ -33,8 +33,23 @@
     }
 }
 
-/** An ownership document and the version of its row. */
-data class VersionedOwnership(val version: Long, val document: OwnershipDocument)
+/**
+ * An ownership document and the version of its row.
+ *
+ * @property isConfirmed whether it is known to be the last one that was written. The only one that is known may be one
+ * from before the table was restored, and owners may have changed since.
+ */
+data class VersionedOwnership(
+    val version: Long,
+    val document: OwnershipDocument,
+    val isConfirmed: Boolean = true,
+) {
+    /**
+     * The document that a new coordinator takes over. Unless it is confirmed, all grants that may have followed it must
+     * have run out, and tokens continue above theirs.
+     */
+    val successor: OwnershipDocument get() = if (isConfirmed) document else document.withoutOwners()
+}
 
 /** Decoded contents of the shared rows. */
 internal class SharedRows(private val log: DecisionLog) {
@@ -67,9 +82,18 @@
     }
 
     private fun mergeOwnership(item: FeedItem.Shared, service: ServiceName) {
-        val isNewer = (ownership[service]?.version ?: 0) < item.version
+        val known = ownership[service]
+        val isNewer = (known?.version ?: 0) < item.version
         val document = item.value?.takeIf { isNewer }?.let { parse(item.key) { OwnershipDocument.decode(it) } }
-        if (document != null) ownership[service] = VersionedOwnership(item.version, document)
+        val epoch = TableVersion.epoch(item.version)
+        val isRestored = known != null && TableVersion.epoch(known.version) < epoch
+        when {
+            document == null -> Unit
+            known != null && isRestored && known.document.revision >= document.revision ->
+                ownership[service] = known.copy(version = item.version)
+            else ->
+                ownership[service] = VersionedOwnership(item.version, document, isConfirmed = document.epoch == epoch)
+        }
     }
 
     private fun <T> parse(key: String, decode: (() -> T)): T? = try {
