--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/CoordinatorLeaseTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/CoordinatorLeaseTest.kt
@@ -51,6 +51,48 @@
         lease.nextStep(0, now(CoordinatorLease.TAKEOVER_MILLISECONDS + 100)) shouldNotBe LeaseStep.WRITE
     }
 
+    data class RestoredCase(val description: String, val holder: String?, val version: Long)
+
+    listOf(
+        RestoredCase("names no holder", null, 0),
+        RestoredCase("names an earlier holder", "c/10.0.0.3:1/1", 7),
+        RestoredCase("names this process, which held it earlier", "a/10.0.0.1:1/2000", 7),
+        RestoredCase("names the previous incarnation of this process", "a/10.0.0.1:1/1000", 7),
+    ).forEach { case ->
+        test("a restored row that ${case.description} is not taken while another process may hold the lease") {
+            val lease = CoordinatorLease("a/10.0.0.1:1/2000")
+            lease.onRowRead("b/10.0.0.2:1/1", 9, now(0))
+            lease.onRowRead(case.holder, case.version, now(100), epoch = 1)
+            lease.nextStep(0, now(100 + CoordinatorLease.LEASE_MILLISECONDS)) shouldNotBe LeaseStep.WRITE
+            lease.nextStep(0, now(100 + CoordinatorLease.TAKEOVER_MILLISECONDS)) shouldBe LeaseStep.WRITE
+        }
+
+        test("the holder of the lease keeps it while it lasts when a restored row ${case.description}") {
+            val lease = CoordinatorLease("a/10.0.0.1:1/2000")
+            acquire(lease, 0)
+            lease.onRowRead(case.holder, case.version, now(1_100), epoch = 1)
+            lease.isHeld(now(1_100)) shouldBe true
+            lease.isInterrupted shouldBe false
+            lease.nextStep(0, now(1_100)) shouldBe LeaseStep.WRITE
+            lease.expectedVersion shouldBe case.version
+        }
+
+        test("a holder whose lease has run out waits like others when a restored row ${case.description}") {
+            val lease = CoordinatorLease("a/10.0.0.1:1/2000")
+            acquire(lease, 0)
+            lease.onRowRead(case.holder, case.version, now(3_000), epoch = 1)
+            lease.isInterrupted shouldBe true
+            lease.nextStep(0, now(3_000 + CoordinatorLease.LEASE_MILLISECONDS)) shouldNotBe LeaseStep.WRITE
+        }
+    }
+
+    test("a response from before the table was restored changes nothing") {
+        val lease = CoordinatorLease("a")
+        lease.onRowRead("b", 3, now(100), epoch = 1)
+        lease.onRowRead("c", 900, now(200), epoch = 0)
+        lease.knownHolder shouldBe "b"
+    }
+
     test("a restarted instance takes over from its previous incarnation at once, whatever its rank") {
         val lease = CoordinatorLease("a/10.0.0.1:1/2000")
         lease.nextStep(LAST_RANK, now(0)) shouldBe LeaseStep.READ
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/traffic/ServerDirectoryTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/traffic/ServerDirectoryTest.kt
@@ -52,6 +52,49 @@
         directory[name] shouldBe entry
     }
 
+    data class CopyCase(
+        val description: String,
+        val known: BackendEntry?,
+        val hasLeft: Boolean,
+        val copy: BackendEntry,
+        val expected: BackendEntry?,
+    )
+
+    val draining = entry.copy(state = ServerState.DRAINING, sequence = 9)
+    val restarted = entry.copy(bornWall = 2, sequence = 1)
+    val cold = entry.copy(coldUntil = 500)
+    listOf(
+        CopyCase("an earlier report of a draining server is ignored", draining, false, entry, draining),
+        CopyCase("an earlier incarnation is ignored", restarted, false, entry.copy(sequence = 50), restarted),
+        CopyCase("a later incarnation counts", entry, false, restarted, restarted),
+        CopyCase("the same report does not make a server cold again", entry, false, cold, entry),
+        CopyCase("a server that has left does not return", draining, true, entry, null),
+        CopyCase("a server that has left and started again does", draining, true, restarted, restarted),
+        CopyCase("a server that was not known before counts", null, false, entry, entry),
+    ).forEach { case ->
+        test("in a restored table, ${case.description}") {
+            val directory = ServerDirectory()
+            case.known?.let { directory.put(it, 0) }
+            if (case.hasLeft) directory.remove(name, 50)
+            directory.put(case.copy, 100, fromCopy = true)
+            directory[name] shouldBe case.expected
+        }
+    }
+
+    test("an entry that is still in the restored table after four seconds counts, one that was removed does not") {
+        listOf(true, false).forEach { isRemoved ->
+            val directory = ServerDirectory()
+            directory.put(draining, 0)
+            directory.remove(name, 50)
+            directory.put(entry, 100, fromCopy = true)
+            if (isRemoved) directory.remove(name, 2_000)
+            directory.expire(4_099)
+            directory[name] shouldBe null
+            directory.expire(4_100)
+            directory[name] shouldBe entry.takeUnless { isRemoved }
+        }
+    }
+
     test("draining servers and evacuated domains get no new requests") {
         val directory = ServerDirectory()
         directory.put(entry, 0)
