--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipDocument.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/OwnershipDocument.kt
@@ -96,9 +96,14 @@
         )
     }
 
-    /** Returns a document with as many ranges, no owners, and tokens above all that may have followed in this one. */
-    fun withoutOwners(): OwnershipDocument =
-        empty(ranges, fences.max() + UNKNOWN_FENCES).copy(coordinator = coordinator, revision = revision)
+    /**
+     * Returns a document with as many ranges, no owners, and tokens above all that may have followed this one until the
+     * last of [restorations] of the table from a copy.
+     */
+    fun withoutOwners(restorations: Long): OwnershipDocument {
+        val fence = fences.max() + restorations * UNKNOWN_FENCES
+        return empty(ranges, fence).copy(coordinator = coordinator, revision = revision)
+    }
 
     /** Whether this document is a later revision than the one in [text]; true if there is none. */
     fun isLaterThan(text: String?): Boolean = revision > (text?.let(::decodeOrNull)?.revision ?: -1)
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipFuzzTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipFuzzTest.kt
@@ -32,6 +32,8 @@
         "hot areas whose ranges are split" to OwnershipFaults(hotArea = 0.02),
         "hot areas while calls are lost and coordinators replaced" to
             OwnershipFaults(hotArea = 0.02, unanswered = 0.05, delayed = 0.05, takeover = 0.003, drain = 0.001),
+        "tables that return from a copy while coordinators end" to
+            OwnershipFaults(restore = 0.001, drain = 0.002, crash = 0.001, unanswered = 0.05, delayed = 0.05),
         "all" to OwnershipFaults(0.001, 0.05, 0.05, 0.001, 0.001, 0.002, 0.001, 0.001, 0.001, 0.001),
         "all with hot areas" to
             OwnershipFaults(0.001, 0.05, 0.05, 0.001, 0.001, 0.002, 0.001, 0.001, 0.001, 0.001, hotArea = 0.05),
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipSimulation.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipSimulation.kt
@@ -30,6 +30,7 @@
     val pause: Double = 0.0,
     val leaveUnannounced: Double = 0.0,
     val hotArea: Double = 0.0,
+    val restore: Double = 0.0,
 )
 
 internal class OwnershipSimulation(private val seed: Int, private val faults: OwnershipFaults) {
@@ -53,6 +54,9 @@
     private var document = OwnershipDocument.empty(RANGES)
     private var coordinator = OwnershipCoordinator(document, 0, isNew = true)
     private var generation = 0
+    private val written = ArrayList<Pair<Long, OwnershipDocument>>()
+    private var restoringUntil = 0L
+    private var epoch = 0L
     private var evacuatedUntil = 0L
     private var pausedUntil = 0L
     private var now = 0L
@@ -75,7 +79,8 @@
             while (events.isNotEmpty() && events.peek().at <= now) events.poll().action()
             injectFaults()
             if (random.nextDouble() < faults.hotArea) reportHotArea()
-            if (now >= pausedUntil) coordinator.tick(view(), CALLS, Now(now, WALL + now)).forEach(::execute)
+            val isAtWork = now >= maxOf(pausedUntil, restoringUntil)
+            if (isAtWork) coordinator.tick(view(), CALLS, Now(now, WALL + now)).forEach(::execute)
             checkInvariants()
             now += STEP
         }
@@ -100,7 +105,8 @@
         }
         incarnations.filter { it.listed && now >= it.entryExpiresAt }.forEach { it.listed = false }
         if (random.nextDouble() < faults.evacuate) evacuatedUntil = now + random.nextLong(LONGEST_FAULT)
-        if (random.nextDouble() < faults.takeover) replaceCoordinator()
+        if (random.nextDouble() < faults.takeover && now >= restoringUntil) replaceCoordinator()
+        if (faults.restore > 0 && random.nextDouble() < faults.restore && now >= restoringUntil) restore()
         if (random.nextDouble() < faults.pause) pausedUntil = now + random.nextLong(LONGEST_FAULT)
     }
 
@@ -138,6 +144,22 @@
         coordinator = OwnershipCoordinator(document, now, isNew = document.owners.isEmpty())
     }
 
+    /**
+     * The table returns with an earlier document, and no process knows the last one. The next coordinator waits until
+     * all holds have run out.
+     */
+    private fun restore() {
+        val copiedAt = now - random.nextLong(LONGEST_FAULT)
+        val copy = written.lastOrNull { it.first <= copiedAt }?.second ?: OwnershipDocument.empty(RANGES)
+        generation++
+        epoch++
+        restoringUntil = now + HoldTimes.LONGEST_HOLD
+        schedule(HoldTimes.LONGEST_HOLD) {
+            document = copy.withoutOwners(epoch - copy.epoch)
+            replaceCoordinator()
+        }
+    }
+
     private fun view(): OwnershipView {
         val entries = incarnations.filter { it.listed }.map { server ->
             if (server.draining) server.entry.copy(state = ServerState.DRAINING) else server.entry
@@ -152,7 +174,8 @@
         when (effect) {
             is OwnershipEffect.Write -> schedule(WRITE_TIME) {
                 if (issuedIn == generation) {
-                    document = effect.document
+                    document = effect.document.copy(epoch = epoch)
+                    written += now to document
                     mostRanges = maxOf(mostRanges, document.ranges)
                     issuer.onWritten(now)
                 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/SharedRows.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/SharedRows.kt
@@ -48,7 +48,8 @@
      * The document that a new coordinator takes over. Unless it is confirmed, all grants that may have followed it must
      * have run out, and tokens continue above theirs.
      */
-    val successor: OwnershipDocument get() = if (isConfirmed) document else document.withoutOwners()
+    val successor: OwnershipDocument
+        get() = if (isConfirmed) document else document.withoutOwners(TableVersion.epoch(version) - document.epoch)
 }
 
 /** Decoded contents of the shared rows. */
