--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipSimulation.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/OwnershipSimulation.kt
@@ -104,6 +104,10 @@
             if (random.nextDouble() < faults.unreachable) server.unreachableUntil = now + random.nextLong(LONGEST_FAULT)
         }
         incarnations.filter { it.listed && now >= it.entryExpiresAt }.forEach { it.listed = false }
+        injectControlFaults()
+    }
+
+    private fun injectControlFaults() {
         if (random.nextDouble() < faults.evacuate) evacuatedUntil = now + random.nextLong(LONGEST_FAULT)
         if (random.nextDouble() < faults.takeover && now >= restoringUntil) replaceCoordinator()
         if (faults.restore > 0 && random.nextDouble() < faults.restore && now >= restoringUntil) restore()
