--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -90,6 +90,31 @@
         " &&\n            !hasElapsed(missingSince[it.server], LEAVING_MILLISECONDS, now)", "", "ServerDirectoryTest", 1),
     "resignation-outweighs-own-calls": (
         "placement/TableOutage.kt", ".filterNot(::wasAnswered)", "", "TableOutageTest", 1),
+    "limit-not-spent": (
+        "dispatch/PoolServer.kt", "        limit.onPermit()\n", "", "ServerLimitReplayTest", 1),
+    "stand-in-spends-all": (
+        "dispatch/ServerLimit.kt", "if (isStandIn) STAND_IN_SHARE else 1.0", "1.0", "ServerLimitReplayTest", 1),
+    "late-response-lifts-limit": (
+        "dispatch/ServerLimit.kt", "named == null || permittedAt < namedAt", "named == null", "ServerLimitReplayTest", 1),
+    "limit-not-planned": (
+        "ownership/LoadPlan.kt", "if (limit == null) slotRate else minOf(slotRate, maxOf(limit, MINIMUM_LIMIT))", "slotRate",
+        "LoadPlanTest", 1),
+    "restored-lease-taken-at-once": (
+        "ownership/LeaseRow.kt", "        if (epoch > this.epoch) restoredAt = now\n", "", "CoordinatorLeaseTest", 1),
+    "restored-row-ends-lease": (
+        "ownership/CoordinatorLease.kt", "val isLost = if (isRestored) !isHeld(now) else holder != self", "val isLost = holder != self",
+        "CoordinatorLeaseTest", 1),
+    "expired-lease-kept": (
+        "ownership/CoordinatorLease.kt", "val isLost = if (isRestored) !isHeld(now) else holder != self",
+        "val isLost = !isRestored && holder != self", "CoordinatorLeaseTest", 1),
+    "restored-tokens-again": (
+        "ownership/OwnershipDocument.kt", "fences.max() + restorations * UNKNOWN_FENCES", "fences.max()",
+        "OwnershipFuzzTest", 1),
+    "server-returns-with-copy": (
+        "traffic/ResurfacedEntries.kt", "known ?: ended[entry.server] ?: return false", "known ?: return false",
+        "ServerDirectoryTest", 1),
+    "copy-makes-cold": (
+        "traffic/ServerDirectory.kt", "fromCopy && resurfaced", "false && resurfaced", "ServerDirectoryTest", 1),
 }
 
 
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/Pool.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/Pool.kt
@@ -44,7 +44,7 @@
 
     /** Another instance was told [limit] by [server] in a response at [namedAt]; it applies from [now] on. */
     fun recordLimit(server: ServerName, limit: Double, namedAt: Long, now: Long) {
-        servers[server]?.limit?.name(limit, namedAt, now)
+        servers[server]?.limit?.onNamed(limit, namedAt, now)
     }
 
     /** Dispatches, enqueues or refuses [ticket] at [now]; returns the decisions, also about other tickets. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServer.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/PoolServer.kt
@@ -84,8 +84,8 @@
     fun onResult(result: CallResult, permittedAt: Long, now: Long) {
         inFlight = maxOf(0, inFlight - 1)
         when {
-            result.limit != null -> limit.name(result.limit, now, now)
-            result.outcome == CallOutcome.ANSWERED -> limit.lift(permittedAt, now)
+            result.limit != null -> limit.onNamed(result.limit, now, now)
+            result.outcome == CallOutcome.ANSWERED -> limit.onLifted(permittedAt, now)
         }
         if (result.load != null) {
             slowdownPercent = result.load.percent
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/ServerLimit.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/ServerLimit.kt
@@ -23,7 +23,7 @@
         get() = named?.let { maxOf(it, MINIMUM_PER_SECOND) * if (isStandIn) STAND_IN_SHARE else 1.0 }
 
     /** The server named [requestsPerSecond] in a response at [at]; ignored if a later response is known. */
-    fun name(requestsPerSecond: Double, at: Long, now: Long) {
+    fun onNamed(requestsPerSecond: Double, at: Long, now: Long) {
         if (at < heardAt) return
         if (named == null) bucket = TokenBucket(0.0, now)
         named = requestsPerSecond
@@ -35,7 +35,7 @@
      * The server named no limit in a response at [now] to a request that was permitted at [permittedAt]. Responses may
      * be reported out of order, so only one to a request that followed the last named limit ends it.
      */
-    fun lift(permittedAt: Long, now: Long) {
+    fun onLifted(permittedAt: Long, now: Long) {
         if (named == null || permittedAt < namedAt) return
         named = null
         heardAt = now
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
@@ -75,7 +75,8 @@
     fun onRowRead(holder: String?, version: Long, now: Now, epoch: Long = 0) {
         val isRestored = row.isRestored(epoch)
         if (!row.onRowRead(holder, version, epoch, now.monotonic)) return
-        if (if (isRestored) !isHeld(now) else holder != self) relinquish()
+        val isLost = if (isRestored) !isHeld(now) else holder != self
+        if (isLost) relinquish()
     }
 
     /** Records that reading the row failed, which restarts the wait for a takeover. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LeaseRow.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LeaseRow.kt
@@ -45,10 +45,10 @@
     fun mayWrite(rank: Int, now: Long): Boolean {
         val unchangedFor = now - unchangedSince
         val rankDelay = rank * RANK_DELAY_MILLISECONDS
-        val isPresent = now - restoredAt >= CoordinatorLease.TAKEOVER_MILLISECONDS
+        val mayTrustRow = now - restoredAt >= CoordinatorLease.TAKEOVER_MILLISECONDS
         return when {
-            version == 0L && isPresent -> unchangedFor >= rankDelay
-            isPresent && (holder == self || isPreviousIncarnation()) -> true
+            version == 0L && mayTrustRow -> unchangedFor >= rankDelay
+            mayTrustRow && (holder == self || isPreviousIncarnation()) -> true
             else -> unchangedFor >= CoordinatorLease.TAKEOVER_MILLISECONDS + rankDelay
         }
     }
