Tell cases that could not run from cases that failed

Cause: an exception in a script's driver ended with the same status as a broken rule, and a process could be started again while the case ended. Change: such an exception and a case that takes too long end with 2; nothing is started after the end; the temporary folder is removed.

--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -1,5 +1,6 @@
 package review;
 
+import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -134,6 +135,9 @@
     @Override
     public void close() {
         instances.forEach(Instance::end);
+        File[] files = folder.toFile().listFiles();
+        for (File file : files == null ? new File[0] : files) file.delete();
+        folder.toFile().delete();
     }
 
     /** Ends the case: prints the outcome and exits with 1 if the rule was broken, else with 0. */
--- a/review/standins/Instance.java
+++ b/review/standins/Instance.java
@@ -23,6 +23,7 @@
     private final int peers;
     private final ProcessBuilder builder;
     private volatile Process process;
+    private boolean hasEnded;
 
     /** Keep the address of a machine without power silent: its queue of new connections stays full. */
     private final List<Socket> fillers = Collections.synchronizedList(new ArrayList<>());
@@ -76,10 +77,6 @@
         new ProcessBuilder("kill", "-" + signal, "" + process.pid()).start().waitFor();
     }
 
-    boolean isAlive() {
-        return process.isAlive();
-    }
-
     /** Waits for the end of the process; from then on, connections to the address of its peers hang. */
     void awaitPowerOff() throws IOException, InterruptedException {
         process.waitFor();
@@ -94,10 +91,13 @@
     /** Starts the process again at the same address, with the same settings. */
     void restart() throws IOException, InterruptedException {
         process.waitFor();
-        process = builder.start();
+        synchronized (this) {
+            if (!hasEnded) process = builder.start();
+        }
     }
 
-    void end() {
+    synchronized void end() {
+        hasEnded = true;
         process.destroyForcibly();
     }
 
--- a/review/standins/Record.java
+++ b/review/standins/Record.java
@@ -10,7 +10,19 @@
     private static final long START = System.nanoTime();
     private final PrintWriter writer;
 
+    /** Longest time that a case may take. */
+    private static final long LIMIT = 118_000;
+
     Record(Path file) throws IOException {
+        Thread.currentThread().setUncaughtExceptionHandler((thread, failure) -> {
+            failure.printStackTrace();
+            System.exit(2);
+        });
+        Http.daemon(() -> {
+            Thread.sleep(LIMIT);
+            System.out.println("the case took too long");
+            System.exit(2);
+        });
         writer = new PrintWriter(Files.newBufferedWriter(file));
     }
 
