--- a/review/4/LateAfterTerm.java
+++ b/review/4/LateAfterTerm.java
@@ -16,6 +16,7 @@
     private static final long GRACE = 6_000;
     private static final long EARLY = 3_000;
     private static final long GAP = 1_000;
+    private static final int ROUNDS = 6;
     private static final Map<String, Long> runsAt = new ConcurrentHashMap<>();
     private static final Map<String, Long> termAt = new ConcurrentHashMap<>();
 
@@ -39,7 +40,7 @@
         for (int i = 0; i < 3; i++) deployment.start("a");
         deployment.awaitReady(30_000);
 
-        long end = Record.now() + 40_000;
+        long end = Record.now() + ROUNDS * 12_000 + 4_000;
         List<String> lost = Collections.synchronizedList(new ArrayList<>());
         List<Thread> consumers = new ArrayList<>();
         for (int i = 0; i < 10; i++) {
@@ -66,7 +67,7 @@
                 }
             }));
         }
-        for (int round = 0; round < 3; round++) {
+        for (int round = 0; round < ROUNDS; round++) {
             Thread.sleep(3_000);
             for (Instance instance : List.copyOf(deployment.instances)) {
                 if (trouble) {
