Avoid lost instances until they respond, and remove the rows of ended ones

Cause: nothing removed the row of an instance that had ended, and every duty chose its instance from all rows. A lost one was avoided for a fixed time only (4 s as reader, 1.5 s as dispatcher), while each attempt costs 300 ms to 1.1 s. With enough ended ones first in the order, the first was due again before a live one was reached. Ruled out: the store (sound all the while) and tombstones (no row was removed at all).

Now a lost instance, as reader or dispatcher, is avoided until it has responded to a probe, which runs beside requests, so the number of ended ones does not matter; an instance without a reader for 400 ms reads the table itself; an instance removes its row at a planned stop; and each examines its successors in a ring, challenges one that does not respond in its own row, and removes the row when the challenge stays unanswered. A removed row's version is no longer taken for the row's.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -41,6 +41,8 @@
         override fun onLoad(load: LoadMessage) = coordinator.recordLoad(load)
     }
     private val hub = PeerHub(context, pools, transport, events)
+    private val memberRow = MemberRow(context, platform.table)
+    private val sweep = MemberSweep(context, hub.probes, platform.table)
     private val links = ServerConnections(group, context::clock)
     private val load = LoadCounter(state)
     private val flow = RequestFlow(RequestContext(context, platform.headers, hub, links, load))
@@ -55,7 +57,7 @@
             .listen(settings.readiness)
         serverChannels += callers.listen()
         loop.execute(source::start)
-        loop.execute(MemberRow(context, platform.table)::maintain)
+        loop.execute(memberRow::maintain)
         scheduleTick(TICK_MILLISECONDS)
         scheduleEvery(REPORT_MILLISECONDS) {
             load.flush { instance, message -> hub.sendLoad(instance, message, context.clock()) }
@@ -88,6 +90,7 @@
         loop.submit {
             flow.isStopping = true
             coordinator.stop()
+            memberRow.leave()
         }.get()
         waitUntil(minOf(end, context.clock() + DEREGISTRATION_MILLISECONDS)) { false }
         waitUntil(end) {
@@ -111,6 +114,7 @@
         pools.tick(now)
         hub.tick(now)
         source.tick(now)
+        sweep.tick(now)
         coordinator.tick()
         return pools.hasWaiting || coordinator.isCoordinating
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberRow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberRow.kt
@@ -1,5 +1,5 @@
 /*
- * Registers this instance in the shared rows.
+ * Registers this instance in the shared rows, until it stops: an instance without a row performs no duties for others.
  */
 package rhubarbspool.entry
 
@@ -9,12 +9,18 @@
 internal class MemberRow(private val context: ProcessContext, private val table: PlatformTable) {
     private val self =
         context.settings.run { Member(instance, domain, peers, processorPercent) }
+    private val key = Member.keyOf(self.instance)
+    private var isLeaving = false
+
+    /** Version of the row; 0 if there is none. */
+    private val knownVersion: Long get() = context.state.shared.memberVersions[self.instance] ?: 0
 
     /** Checks the row now and then periodically. */
     fun maintain() {
+        if (isLeaving) return
         val shared = context.state.shared
         val rows = context.state.rows(Feed.SHARED)
-        val isCurrent = shared.members[self.instance] == self && rows.isStored(Member.keyOf(self.instance))
+        val isCurrent = shared.members[self.instance] == self && rows.isStored(key)
         val isRead = rows.version != null
         if (!isCurrent && isRead) write()
         val wait = when {
@@ -25,16 +31,44 @@
         context.loop.schedule(::maintain, wait, TimeUnit.MILLISECONDS)
     }
 
+    /** Removes the row; it is not written again. */
+    fun leave() {
+        isLeaving = true
+        remove(REMOVAL_ATTEMPTS)
+    }
+
     private fun write() {
-        val versions = context.state.shared.memberVersions
-        val expected = versions[self.instance] ?: 0
-        val key = Member.keyOf(self.instance)
-        table.write(key, followed = true, expected, self.encode()).whenComplete { result, failure ->
+        table.write(key, followed = true, knownVersion, self.encode()).whenComplete { result, failure ->
             if (failure != null) context.log.event("member.unwritten", "cause" to failure.message)
-            if (result is WriteResult.Conflict) versions[self.instance] = result.current?.version ?: 0
+            when (result) {
+                is WriteResult.Written -> onWritten(result.version)
+                is WriteResult.Conflict -> recordVersion(result.current?.version)
+                null -> Unit
+            }
         }
     }
 
+    private fun onWritten(version: Long) {
+        recordVersion(version)
+        if (isLeaving) remove(REMOVAL_ATTEMPTS)
+    }
+
+    private fun remove(attempts: Int) {
+        if (knownVersion == 0L || attempts == 0) return
+        table.write(key, followed = true, knownVersion, null).whenComplete { result, failure ->
+            if (failure != null) context.log.event("member.not-removed", "cause" to failure.message)
+            if (result is WriteResult.Conflict) {
+                recordVersion(result.current?.version)
+                remove(attempts - 1)
+            }
+        }
+    }
+
+    private fun recordVersion(version: Long?) {
+        val versions = context.state.shared.memberVersions
+        if (version == null) versions.remove(self.instance) else versions[self.instance] = version
+    }
+
     private companion object {
         /** Interval of checks until the shared rows have been read. */
         const val FIRST_READ_MILLISECONDS = 50L
@@ -42,5 +76,8 @@
         /** Time for a write to arrive in the feed of shared rows before it is repeated. */
         const val WRITE_MILLISECONDS = 700L
         const val CHECK_MILLISECONDS = 1_000L
+
+        /** A row whose version changes while it is removed was challenged or written at the same time. */
+        const val REMOVAL_ATTEMPTS = 3
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
@@ -3,7 +3,6 @@
  */
 package rhubarbspool.entry
 
-import rhubarbspool.model.Address
 import rhubarbspool.model.FailureDomainName
 import rhubarbspool.model.InstanceName
 
@@ -37,17 +36,20 @@
 internal class PeerHub(
     private val context: ProcessContext,
     val pools: PoolService,
-    private val transport: PeerTransport,
+    transport: PeerTransport,
     private val events: PeerEvents,
 ) : LinkEvents {
     /** Name of this process as a client of pools. */
     val self = "${context.settings.instance}/${context.clock()}"
-    private val links = HashMap<Address, PeerLink>()
+    private val links = PeerLinks(context, transport, self, this)
     private val reachability = context.reachability
     private val localCallbacks = HashMap<Long, (DecisionMessage) -> Unit>()
     private var nextId = 0L
     private var lastGossipAt = 0L
 
+    /** Probes of other instances. */
+    val probes = PeerProbes(context, links)
+
     init {
         pools.attach(self) { decision -> localCallbacks[decision.id]?.invoke(decision) }
     }
@@ -55,15 +57,15 @@
     /** Sends [request] to the instance that dispatches for its pool; calls [onDecision] with every decision. */
     fun requestSlot(request: SlotRequestMessage, now: Long, onDecision: (DecisionMessage) -> Unit): PendingSlotRequest {
         val numbered = request.copy(id = ++nextId)
-        val dispatcher = dispatcherOf(numbered.pool, now)?.takeIf { it.instance != context.settings.instance }
-        val link = dispatcher?.let(::linkTo)
+        val dispatcher = dispatcherOf(numbered.pool)?.takeIf { it.instance != context.settings.instance }
+        val link = dispatcher?.let(links::to)
         if (link == null) {
             localCallbacks[numbered.id] = onDecision
             pools.submit(self, numbered, now)
         } else {
             link.requestSlot(numbered, now) { decision ->
                 if (decision === PeerLink.LOST || decision === PeerLink.SILENT) {
-                    recordLoss(dispatcher, decision === PeerLink.SILENT)
+                    context.recordLoss(dispatcher, decision === PeerLink.SILENT)
                 }
                 onDecision(decision)
             }
@@ -88,7 +90,7 @@
         if (instance == context.settings.instance) {
             events.onLoad(load)
         } else {
-            linkTo(member).sendMessage(PeerMessage(load = load), now)
+            links.to(member).sendMessage(PeerMessage(load = load), now)
         }
     }
 
@@ -97,54 +99,37 @@
      * that it is connected to if there is any.
      */
     fun tick(now: Long) {
+        probes.tick(now)
         if (now - lastGossipAt >= GOSSIP_MILLISECONDS) {
             lastGossipAt = now
-            val connected = links.values.map { it.member }
+            val connected = links.all.map { it.member }
             val self = setOfNotNull(context.state.shared.members[context.settings.instance])
             val others = connected.ifEmpty { context.state.shared.members.values - self }
-            others.randomOrNull()?.let { other -> linkTo(other).sendMessage(PeerMessage(ping = true), now) }
+            others.randomOrNull()?.let { other -> links.to(other).sendMessage(PeerMessage(ping = true), now) }
         }
-        links.values.filter { it.isTimedOut(now) || it.isIdle(now) }.forEach { it.abandon() }
+        links.all.filter { it.isTimedOut(now) || it.isIdle(now) }.forEach { it.abandon() }
     }
 
-    /** Whether no instance of [domain] can be reached at [now]. */
-    fun isCutOff(domain: FailureDomainName, now: Long): Boolean = reachability.isCutOff(domain, now)
+    /** Whether no instance of [domain] can be reached. */
+    fun isCutOff(domain: FailureDomainName): Boolean = reachability.isCutOff(domain)
 
     override fun onMessage(link: PeerLink, versions: FeedVersions?) {
-        reachability.recordContact(link.member.domain, context.clock())
+        probes.onResponse(link.member)
+        context.recordContact(link.member)
         versions?.let(events::onFeedVersions)
     }
 
-    override fun onClosed(link: PeerLink) {
-        links.values.removeAll { it === link }
-    }
+    override fun onClosed(link: PeerLink) = links.remove(link)
 
-    private fun dispatcherOf(pool: PoolName, now: Long): Member? {
+    private fun dispatcherOf(pool: PoolName): Member? {
         fun isReachable(member: Member) =
-            member.instance == context.settings.instance || !reachability.isAvoided(member.instance, now)
+            member.instance == context.settings.instance || !reachability.isAvoided(member.instance)
         val duties = context.duties
         return duties.dispatchersOf(pool).firstOrNull(::isReachable)
             ?: duties.dispatchersIn(FailureDomainName(pool.domain)).firstOrNull(::isReachable)
             ?: duties.dispatchersIn(context.settings.domain).firstOrNull(::isReachable)
     }
 
-    private fun recordLoss(member: Member, silent: Boolean) {
-        val now = context.clock()
-        val isNew = reachability.recordLoss(member.instance, member.domain, silent, now)
-        val cutOff = isCutOff(member.domain, now)
-        if (!isNew) return
-        context.log.belief(
-            "instance",
-            "instance" to member.instance,
-            "state" to if (silent) "silent" else "unreachable",
-            "domain" to member.domain,
-            "cutOff" to cutOff,
-        )
-    }
-
-    private fun linkTo(member: Member): PeerLink =
-        links.getOrPut(member.peers) { PeerLink(context, transport, member, self, this) }
-
     private companion object {
         /** Versions of new rows reach most instances within a few intervals, also where there are no requests. */
         const val GOSSIP_MILLISECONDS = 500L
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerLink.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerLink.kt
@@ -47,6 +47,9 @@
         send(message, now)
     }
 
+    /** Whether slot requests are pending. */
+    val hasOpenRequests: Boolean get() = open.isNotEmpty()
+
     /** Sends a ping if one is due at [now]; returns whether nothing was received for too long. */
     fun isTimedOut(now: Long): Boolean {
         if (open.isEmpty()) return false
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolSearch.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolSearch.kt
@@ -50,7 +50,7 @@
         hasPermit = false
         askedOwner = owner
         stages = ArrayDeque()
-        if (owner != null && owner.domain != localDomain && context.hub.isCutOff(owner.domain, now)) {
+        if (owner != null && owner.domain != localDomain && context.hub.isCutOff(owner.domain)) {
             val detail = "${owner.domain} is cut off"
             listener.onRefused(RequestError(ErrorKind.GATE_UNREACHABLE, detail, NO_OWNER_RETRY_MILLISECONDS))
         } else if (owner != null) {
@@ -59,7 +59,7 @@
             listener.onRefused(RequestError(ErrorKind.NO_OWNER, "key ${state.key}", NO_OWNER_RETRY_MILLISECONDS))
         } else {
             val remoteDomains = (context.process.settings.domains - localDomain)
-                .filterNot { context.hub.isCutOff(it, now) }
+                .filterNot { context.hub.isCutOff(it) }
                 .shuffled()
             stages += Stage(localDomain, WaitMode.IN_TIME)
             stages += remoteDomains.map { Stage(it, WaitMode.FREE_SLOT) } +
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PoolService.kt
@@ -50,7 +50,7 @@
      */
     fun submit(owner: String, message: SlotRequestMessage, now: Long) {
         val tracked = pools.getOrPut(message.pool) {
-            val pool = Pool().also { it.isStandIn = context.isStandInFor(message.pool, now) }
+            val pool = Pool().also { it.isStandIn = context.isStandInFor(message.pool) }
             TrackedPool(pool, now).also { update(message.pool, pool, now) }
         }
         message.limits.forEach {
@@ -100,7 +100,7 @@
             now - tracked.lastUsedAt > UNUSED_MILLISECONDS && tracked.pool.inFlight == 0
         }
         pools.forEach { (name, tracked) ->
-            tracked.pool.isStandIn = context.isStandInFor(name, now)
+            tracked.pool.isStandIn = context.isStandInFor(name)
             if (hasChanged || mayLoseServers(name)) update(name, tracked.pool, now)
             if (tracked.pool.queued > 0 || tracked.pool.inFlight > 0) deliver(tracked.pool.tick(now))
         }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
@@ -40,12 +40,32 @@
         settings = kept
     }
 
-    /** Whether the preferred dispatcher of [pool] is another instance, which may be at work at [now]. */
-    fun isStandInFor(pool: PoolName, now: Long): Boolean {
+    /** Whether the preferred dispatcher of [pool] is another instance, which may be at work. */
+    fun isStandInFor(pool: PoolName): Boolean {
         val preferred = duties.dispatchersOf(pool).firstOrNull()?.instance
-        return preferred == null || (preferred != settings.instance && !reachability.isAvoided(preferred, now))
+        return preferred == null || (preferred != settings.instance && !reachability.isAvoided(preferred))
     }
 
+    /** A connection to [member] was lost; [silent] if it stopped responding. */
+    fun recordLoss(member: Member, silent: Boolean) {
+        val isNew = reachability.recordLoss(member.instance, member.domain, silent, clock())
+        if (isNew) logReachability(member, if (silent) "silent" else "unreachable")
+    }
+
+    /** A message from [member] arrived. */
+    fun recordContact(member: Member) {
+        val wasAvoided = reachability.recordContact(member.instance, member.domain, clock())
+        if (wasAvoided) logReachability(member, "reachable")
+    }
+
+    private fun logReachability(member: Member, state: String) = log.belief(
+        "instance",
+        "instance" to member.instance,
+        "state" to state,
+        "domain" to member.domain,
+        "cutOff" to reachability.isCutOff(member.domain),
+    )
+
     /** Monotonic milliseconds. */
     fun clock(): Long = now().monotonic
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -1,7 +1,7 @@
 /*
  * Decides from where this instance gets the rows of the platform's table. One instance in each failure domain reads
- * the table and sends the rows to the others, which read the table themselves only when no reader can be reached. A
- * reader that can't read the table resigns, and its subscribers subscribe to the next instance in rendezvous order.
+ * the table and sends the rows to the others, which read the table themselves only while they have no reader. A reader
+ * that can't read the table resigns, and its subscribers subscribe to the next instance in rendezvous order.
  */
 package rhubarbspool.entry
 
@@ -30,6 +30,7 @@
     private val startedAt = context.clock()
     private var lastFailureAt = startedAt
     private var lastReadAt = startedAt
+    private var hadReaderAt = startedAt
 
     /** Reads the shared rows first: they list the instances that may be the reader. */
     fun start() = followers.getValue(Feed.SHARED).readOnce()
@@ -44,7 +45,8 @@
         followers.values.forEach { it.catchUp(now) }
         subscription?.takeIf { it.isTimedOut(now) }?.let { onReaderLost(it, sinceFailureMilliseconds = null) }
         val reader = choice.choose(readers(context), now) ?: self
-        val reads = reader == self || !subscribers.isEmpty
+        if (subscription?.isEstablished == true) hadReaderAt = now
+        val reads = reader == self || !subscribers.isEmpty || now - hadReaderAt > READERLESS_MILLISECONDS
         followers.values.forEach { if (reads) it.start() else it.stop() }
         if (subscription?.reader != reader) subscribe(reader)
         if (!reads && choice.hasRecentFailure(self, now)) readOnce(now, RETRY_READ_MILLISECONDS)
@@ -117,7 +119,7 @@
         subscription = null
         val member = context.state.shared.members[reader]?.takeIf { reader != self } ?: return
         context.log.belief("reader", "instance" to reader, "state" to "asked")
-        subscription = Subscription(reader, context, transport, this).also { transport.connect(member.peers, it) }
+        subscription = Subscription(member, context, transport, this).also { transport.connect(member.peers, it) }
     }
 
     private companion object {
@@ -130,6 +132,9 @@
         /** An instance that can't register in the shared rows reads the table without registration after this time. */
         const val REGISTRATION_MILLISECONDS = 3_000L
 
+        /** Time without a reader after which this instance reads the table, however many it has yet to try. */
+        const val READERLESS_MILLISECONDS = 400L
+
         /** A reader whose calls have failed for this long resigns. */
         const val RESIGNATION_MILLISECONDS = 700L
 
@@ -138,8 +143,8 @@
     }
 }
 
-/** All instances in order of preference as reader for this one: those of its own failure domain first. */
+/** Instances that can be reached in order of preference as reader for this one: those of its own domain first. */
 private fun readers(context: ProcessContext): List<InstanceName> {
     val (sameDomain, otherDomains) = context.duties.order("reader").partition { it.domain == context.settings.domain }
-    return (sameDomain + otherDomains).map { it.instance }
+    return (sameDomain + otherDomains).map { it.instance }.filterNot(context.reachability::isAvoided)
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/SharedRows.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/SharedRows.kt
@@ -16,6 +16,7 @@
  * An instance, as it registered itself in the shared rows.
  *
  * @property processorPercent the share of a processor core that it has, in percent; 0 if it is not known.
+ * @property isChallenged whether another instance, which can't reach this one, asks it to write its row again.
  */
 @Serializable
 data class Member(
@@ -23,6 +24,7 @@
     val domain: FailureDomainName,
     val peers: Address,
     val processorPercent: Int = 0,
+    val isChallenged: Boolean = false,
 ) {
     /** Encodes this member as the value of its row. */
     fun encode(): String = Json.encodeToString(serializer(), this)
@@ -61,7 +63,7 @@
     var memberChanges = 0L
         private set
 
-    /** Versions of the instances' rows. */
+    /** Versions of the rows that instances have. */
     val memberVersions = HashMap<InstanceName, Long>()
 
     /** Owners of keys by service. */
@@ -76,7 +78,7 @@
     }
 
     private fun mergeMember(item: FeedItem.Shared, name: InstanceName) {
-        memberVersions[name] = item.version
+        if (item.value == null) memberVersions.remove(name) else memberVersions[name] = item.version
         val member = item.value?.let { parse(item.key) { Json.decodeFromString(Member.serializer(), it) } }
         val before = if (member == null) members.remove(name) else members.put(name, member)
         if (before != member) memberChanges++
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
@@ -18,25 +18,33 @@
     fun onReaderLost(subscription: Subscription, sinceFailureMilliseconds: Long?)
 }
 
-/** Subscription to the rows that [reader] reads from the table. */
+/** Subscription to the rows that the instance [member] reads from the table. */
 internal class Subscription(
-    val reader: InstanceName,
+    private val member: Member,
     private val context: ProcessContext,
     private val transport: PeerTransport,
     private val events: SubscriptionEvents,
 ) : PeerListener {
+    /** The name of the reader. */
+    val reader: InstanceName get() = member.instance
+
+    /** Whether the reader has responded. */
+    var isEstablished = false
+        private set
     private var channel: Channel? = null
     private var lastReceivedAt = context.clock()
     private var lastPingAt = lastReceivedAt
     private var isCancelled = false
 
-    /** Sends a ping if one is due at [now]; returns whether nothing was received for too long. */
+    /** Sends a ping if one is due at [now]; returns whether nothing was received for too long, and records the loss. */
     fun isTimedOut(now: Long): Boolean {
         if (now - lastPingAt > PING_MILLISECONDS) {
             lastPingAt = now
             channel?.let { transport.send(it, PeerMessage(ping = true)) }
         }
-        return now - lastReceivedAt > RECEIVE_TIMEOUT_MILLISECONDS
+        val timedOut = now - lastReceivedAt > RECEIVE_TIMEOUT_MILLISECONDS
+        if (timedOut) context.recordLoss(member, silent = true)
+        return timedOut
     }
 
     /** Ends the subscription and closes its connection. */
@@ -51,12 +59,14 @@
             channel.close()
         } else {
             val known = SubscribeMessage(context.state.feedVersions())
-            transport.send(channel, PeerMessage(hello = "${context.settings.instance}", subscribe = known))
+            transport.send(channel, PeerMessage(hello = "${context.settings.instance}", subscribe = known, ping = true))
         }
     }
 
     override fun onReceived(message: PeerMessage) {
         lastReceivedAt = context.clock()
+        isEstablished = true
+        context.recordContact(member)
         val rows = message.rows
         when {
             rows == null || isCancelled -> Unit
@@ -66,7 +76,9 @@
     }
 
     override fun onDisconnected() {
-        if (!isCancelled) events.onReaderLost(this, sinceFailureMilliseconds = null)
+        if (isCancelled) return
+        context.recordLoss(member, silent = false)
+        events.onReaderLost(this, sinceFailureMilliseconds = null)
     }
 
     private companion object {
