Refuse requests that a stopping instance can't answer before it ends

Cause: the stop ended a process with requests in flight, and nothing compared a request's deadline with that end. Ruled out: a kept connection that crosses the close (each booking had its own).

Once the platform has had the time to take an instance out of rotation (2.3 s), it takes only requests whose deadline passes before its end, and refuses others at once as not run, with Retry-After 0: another instance can take them. Requests that it took before get a deadline before its end, so that those that wait are refused and those that run get the server's own answer. The last look at the requests in flight also closes the door, so none is taken between it and the end. A connection with unsent output no longer counts as idle, since closing it would cut a response off.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
@@ -38,9 +38,11 @@
     private val turns = TurnQueue { handler.isStopping }
     private var hasReadFailed = false
     private var lastReadAt = clock()
+    private val hasUnsentOutput: Boolean
+        get() = context.channel().unsafe().outboundBuffer()?.isEmpty == false
 
-    /** Whether no request is being read and no response is pending. */
-    val isIdle: Boolean get() = turns.isIdle && reader.isIdle
+    /** Whether no request is being read and no response is pending or partly sent. */
+    val isIdle: Boolean get() = turns.isIdle && reader.isIdle && !hasUnsentOutput
 
     /** Monotonic time of the last read or completed response, in milliseconds. */
     val lastActiveAt: Long get() = maxOf(lastReadAt, turns.lastCompletedAt)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -6,6 +6,7 @@
 
 import io.netty.channel.Channel
 import io.netty.channel.EventLoopGroup
+import rhubarbspool.dispatch.PlannedStop
 import rhubarbspool.edge.Daemon
 import rhubarbspool.edge.HealthAndMetricsHandler
 import rhubarbspool.edge.HttpAnswer
@@ -82,19 +83,21 @@
 
     /**
      * Planned stop: reports not ready, serves callers until the platform has removed this instance from rotation, and
-     * then closes idle connections until no request is in flight or the stop time has passed.
+     * then closes idle connections until no request is in flight or the stop time has passed. Requests that would not
+     * end by then are refused.
      */
     override fun stop() {
         log.event("stopping", "instance" to settings.instance, "connections" to callers.connectionCount)
-        val end = context.clock() + settings.stopMilliseconds
+        val now = context.clock()
+        val stop = PlannedStop(now, now + settings.stopMilliseconds)
         loop.submit {
-            flow.isStopping = true
+            flow.beginStop(stop)
             coordinator.stop()
             memberRow.leave()
         }.get()
-        waitUntil(minOf(end, context.clock() + DEREGISTRATION_MILLISECONDS)) { false }
-        waitUntil(end) {
-            loop.submit<Boolean> { callers.closeIdle(STOPPING_IDLE_MILLISECONDS) && flow.inFlight == 0 }.get()
+        waitUntil(stop.leftRotationAt) { false }
+        waitUntil(stop.endsAt) {
+            loop.submit<Boolean> { callers.closeIdle(STOPPING_IDLE_MILLISECONDS) && flow.endIfIdle() }.get()
         }
         log.event("stopped", "instance" to settings.instance, "open" to flow.inFlight)
     }
@@ -159,9 +162,6 @@
         const val IDLE_CHECK_MILLISECONDS = 500L
         const val POLL_MILLISECONDS = 20L
 
-        /** The platform removes an instance from rotation after two failed readiness checks, a second apart. */
-        const val DEREGISTRATION_MILLISECONDS = 2_300L
-
         /** Idle time after which a connection is closed while stopping. */
         const val STOPPING_IDLE_MILLISECONDS = 700L
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import rhubarbspool.dispatch.PlannedStop
 import rhubarbspool.dispatch.RetryAllowance
 import rhubarbspool.errors.ErrorKind
 import rhubarbspool.errors.Outcome
@@ -49,19 +50,32 @@
 /** Routes callers' requests and tracks those in flight. */
 internal class RequestFlow(private val context: RequestContext) : RequestHandler {
     private val split = TrafficSplit()
-    private val shardedRuns = LinkedHashSet<RequestRun>()
+    private val runs = LinkedHashSet<RequestRun>()
+    private var plannedStop: PlannedStop? = null
+    private var isEnded = false
 
     /** Requests without a response. */
-    var inFlight: Int = 0
-        private set
+    val inFlight: Int get() = runs.size
 
-    override var isStopping: Boolean = false
+    override val isStopping: Boolean get() = plannedStop != null
 
     override val bodyMemory = BodyMemory()
 
     override val bodyLimit: Long
         get() = context.process.state.configuration?.bounds?.bodyBytes ?: DEFAULT_BODY_BYTES
 
+    /** Begins [stop]: requests end before the process does. */
+    fun beginStop(stop: PlannedStop) {
+        plannedStop = stop
+        runs.toList().forEach { it.state.deadline.limit(stop.lastDeadlineAt) }
+    }
+
+    /** Ends the flow if no request is in flight, so that none is taken on after that; returns whether it has ended. */
+    fun endIfIdle(): Boolean {
+        isEnded = isEnded || runs.isEmpty()
+        return isEnded
+    }
+
     override fun handle(request: CallerRequest, turn: CallerTurn) {
         val host = request.headers.get("Host").orEmpty()
         val id = request.headers.get(context.names.requestId).orEmpty()
@@ -87,7 +101,7 @@
     /**
      * Servers or key owners changed: requests that wait for a former owner, or for a new one, ask the current owner.
      */
-    fun onServersChanged() = shardedRuns.toList().forEach(RequestRun::onOwnersChanged)
+    fun onServersChanged() = runs.filter { it.state.service.sharded }.forEach(RequestRun::onOwnersChanged)
 
     private fun startRun(id: String, request: CallerRequest, route: TrafficRoute, turn: CallerTurn) {
         val service = split.next(route)?.let { context.process.state.configuration?.services?.get(it) }
@@ -95,20 +109,30 @@
             bodyMemory.release(request.body.size)
             return reject(RequestError(ErrorKind.NO_OWNER, route.name, STARTUP_MILLISECONDS), turn)
         }
-        context.retryAllowance(service.name).recordRequest()
-        inFlight++
         val state = RequestState(context, id, request, route, service)
+        if (!isAdmitted(state)) {
+            bodyMemory.release(request.body.size)
+            return reject(RequestError(ErrorKind.STOPPING, id, retryAfterMilliseconds = 0), turn)
+        }
+        context.retryAllowance(service.name).recordRequest()
         var run: RequestRun? = null
         val end = RequestEnd(context, state, turn) {
-            inFlight--
             bodyMemory.release(request.body.size)
-            run?.let { shardedRuns -= it }
+            run?.let { runs -= it }
         }
         run = RequestRun(context, state, end)
-        if (service.sharded) shardedRuns += run
+        runs += run
         run.start(turn)
     }
 
+    /** Whether the request of [state] is run; in a planned stop, its deadline is limited to the end of that. */
+    private fun isAdmitted(state: RequestState): Boolean {
+        val stop = plannedStop ?: return true
+        val admitted = !isEnded && stop.admits(state.deadlineAt, context.process.clock())
+        if (admitted) state.deadline.limit(stop.lastDeadlineAt)
+        return admitted
+    }
+
     private companion object {
         const val DEFAULT_BODY_BYTES = 1_048_576L
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestRun.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestRun.kt
@@ -15,19 +15,18 @@
 /** Runs the request of [state]; [end] sends its response. */
 internal class RequestRun(
     private val context: RequestContext,
-    private val state: RequestState,
+    val state: RequestState,
     private val end: RequestEnd,
 ) : CallListener, SearchListener {
     private val search = PoolSearch(context, state, this)
     private var call: ServerCall? = null
-    private var deadlineTimer: Future<*>? = null
     private var retryTimer: Future<*>? = null
 
     /** Starts the request; the response is written to [turn]. */
     fun start(turn: CallerTurn) {
         turn.onCallerGone = ::callerGone
         turn.onWritable = { call?.exchange?.isReading = true }
-        deadlineTimer = context.schedule(state.deadlineAt - context.process.clock(), ::onDeadline)
+        state.deadline.start(::onDeadline)
         if (state.service.sharded && state.key == null) {
             end.fail(RequestError(ErrorKind.KEY_MISSING, state.route.name))
         } else {
@@ -88,9 +87,7 @@
 
     /** A streamed response is relayed until its caller's own deadline and then aborted, so that an endless one ends. */
     override fun onStreamStarted() {
-        deadlineTimer?.cancel(false)
-        val remaining = state.streamDeadlineAt - context.process.clock()
-        deadlineTimer = context.schedule(remaining + ANSWER_GRACE_MILLISECONDS) { call?.onDeadline() }
+        state.deadline.extend(state.streamDeadlineAt + ANSWER_GRACE_MILLISECONDS) { call?.onDeadline() }
     }
 
     private fun retry(cause: CallOutcome, delay: Long) {
@@ -109,7 +106,7 @@
             search.withdraw()
             end.fail(RequestError(ErrorKind.DEADLINE_BEFORE_RUN, "waited", search.retryAfter))
         } else {
-            deadlineTimer = context.schedule(ANSWER_GRACE_MILLISECONDS, current::onDeadline)
+            state.deadline.extend(context.process.clock() + ANSWER_GRACE_MILLISECONDS, current::onDeadline)
         }
     }
 
@@ -117,7 +114,7 @@
     private fun callerGone() {
         val current = call
         retryTimer?.cancel(false)
-        if (current == null || state.repeatable) deadlineTimer?.cancel(false)
+        if (current == null || state.repeatable) state.deadline.cancel()
         if (current == null) search.withdraw() else if (state.repeatable) current.cancel(CallOutcome.CANCELLED)
         end.onCallerGone(if (current == null) "waiting" else "running")
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestState.kt
@@ -25,11 +25,16 @@
     val dueAt: Long = callerRequest.arrivedAt + route.targetMilliseconds
 
     /** Time at which a request without a response fails. */
-    val deadlineAt: Long =
-        callerRequest.arrivedAt + minOf(route.timeoutMilliseconds, requestedTimeout() ?: Long.MAX_VALUE)
+    val deadline = RequestDeadline(
+        context,
+        callerRequest.arrivedAt + minOf(route.timeoutMilliseconds, requestedTimeout() ?: Long.MAX_VALUE),
+    )
+
+    /** The time of [deadline]. */
+    val deadlineAt: Long get() = deadline.at
 
     /** Time until which the caller waits for the rest of a streamed response. */
-    val streamDeadlineAt: Long = requestedTimeout()?.let { callerRequest.arrivedAt + it } ?: deadlineAt
+    val streamDeadlineAt: Long = requestedTimeout()?.let { callerRequest.arrivedAt + it } ?: deadline.at
 
     /** The shard key, if the request has a valid one. */
     val key: Int? = callerRequest.headers.get(context.names.key)?.toIntOrNull()
--- a/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/LocalPlatform.kt
+++ b/rhubarbspool-standins/src/main/kotlin/rhubarbspool/standins/instance/LocalPlatform.kt
@@ -43,8 +43,14 @@
     fun openStoreProxy(): StoreProxy = StoreProxy(store).also { it.address = listen(it) }
 
     /** Starts a server of [service] in [domain] and writes its entry to the store. */
-    fun startServer(id: String, service: String, domain: String, sharded: Boolean): KeyedServerStandIn {
-        val server = KeyedServerStandIn(id, sharded)
+    fun startServer(
+        id: String,
+        service: String,
+        domain: String,
+        sharded: Boolean,
+        workMilliseconds: Long = 2,
+    ): KeyedServerStandIn {
+        val server = KeyedServerStandIn(id, sharded, workMilliseconds)
         servers[id] = server
         putServerEntry(id, service, domain, listen(server), "ready")
         return server
@@ -81,12 +87,16 @@
         return """{"columns":[$names],"rows":[${rows.joinToString(",") { "[$it]" }}]}"""
     }
 
-    /** Text of a settings file for the instance [name] in [domain] that calls the store at [storeEndpoint]. */
+    /**
+     * Text of a settings file for the instance [name] in [domain] that calls the store at [storeEndpoint] and ends
+     * within [grace] of a planned stop.
+     */
     fun settings(
         name: String,
         domain: String,
         addresses: ListenAddresses,
-        storeEndpoint: Address = storeAddress
+        storeEndpoint: Address = storeAddress,
+        grace: String = "3s",
     ): String = """
         self.node=$name
         self.zone=$domain
@@ -96,7 +106,7 @@
         network.zones.east=region
         network.zones.west=region
         platform.platform.address=$storeEndpoint
-        terms.bounds.grace=3s
+        terms.bounds.grace=$grace
         terms.bounds.retry_budget_ratio=0.2
         terms.bounds.retry_budget_slack=50
         terms.bounds.retry_window=10s
