Go on following a feed whatever one row or one callback does

An instance that started beside the entry never knew the entries that sort after it.

Cause: the JSON parser calls itself for each level and overflows the loop's stack of 256 KB. Its error left the callback of a future, which keeps it to itself, so the next call was never scheduled and nothing was logged; the page's rows counted as known by then.

A row that can't be merged is logged and keeps no other out. All callbacks, timers and parts of the tick run as guarded tasks, which log whatever they throw, errors included; a feed that has stopped all the same is noticed by the tick and resumed.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/model/Address.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/model/Address.kt
@@ -3,6 +3,7 @@
  */
 package rhubarbspool.model
 
+import com.google.common.net.InetAddresses
 import kotlinx.serialization.Serializable
 
 /** Numeric IP address and TCP port. */
@@ -17,15 +18,15 @@
         /** Highest valid TCP port. */
         const val MAXIMUM_PORT: Int = 65_535
 
-        private val NUMBER = Regex("""\d{1,3}(\.\d{1,3}){3}|\[?[0-9a-fA-F:]+:[0-9a-fA-F:]*]?""")
-
         /** Parses `host:port` with a numeric host; null if [text] is malformed. */
         fun parse(text: String): Address? {
             val host = text.substringBeforeLast(':', "")
             val port = text.substringAfterLast(':').toIntOrNull()
             return port
-                ?.takeIf { it in MINIMUM_PORT..MAXIMUM_PORT && NUMBER.matches(host) }
+                ?.takeIf { it in MINIMUM_PORT..MAXIMUM_PORT && isNumeric(host) }
                 ?.let { Address(host, it) }
         }
+
+        private fun isNumeric(host: String) = InetAddresses.isInetAddress(host.removeSurrounding("[", "]"))
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -14,7 +14,6 @@
 import rhubarbspool.edge.Metrics
 import rhubarbspool.edge.ProcessClock
 import java.util.concurrent.CompletableFuture
-import java.util.concurrent.TimeUnit
 
 /** One entry process. */
 class EntryDaemon(
@@ -57,15 +56,20 @@
         serverChannels += HttpService(group) { CompletableFuture.completedFuture(readiness(it.path)) }
             .listen(settings.readiness)
         serverChannels += callers.listen()
-        loop.execute(source::start)
-        loop.execute(memberRow::maintain)
-        scheduleTick(TICK_MILLISECONDS)
-        scheduleEvery(REPORT_MILLISECONDS) {
-            load.flush { instance, message -> hub.sendLoad(instance, message, context.clock()) }
-        }
-        scheduleEvery(IDLE_CHECK_MILLISECONDS) {
-            links.closeIdle()
-            state.configuration?.let { callers.closeIdle(it.bounds.idleMilliseconds * IDLE_PERCENT / PERCENT) }
+        val tasks = context.tasks
+        loop.execute {
+            tasks.guarded("start") { source.start() }
+            tasks.repeat("member", IDLE_TICK_MILLISECONDS, memberRow::maintain)
+            tasks.repeat("tick", TICK_MILLISECONDS) { if (tick()) TICK_MILLISECONDS else IDLE_TICK_MILLISECONDS }
+            tasks.repeat("report", REPORT_MILLISECONDS) {
+                load.flush { instance, message -> hub.sendLoad(instance, message, context.clock()) }
+                REPORT_MILLISECONDS
+            }
+            tasks.repeat("idle", IDLE_CHECK_MILLISECONDS) {
+                links.closeIdle()
+                state.configuration?.let { callers.closeIdle(it.bounds.idleMilliseconds * IDLE_PERCENT / PERCENT) }
+                IDLE_CHECK_MILLISECONDS
+            }
         }
         log.event(
             "started",
@@ -78,7 +82,7 @@
 
     /** Applies those settings of [next] that may change while the process runs. */
     fun reload(next: EntrySettings) {
-        loop.execute { context.reload(next) }
+        context.tasks.execute("reload") { context.reload(next) }
     }
 
     /**
@@ -113,36 +117,16 @@
     /** Makes the decisions that are due; returns whether more may be due soon. */
     private fun tick(): Boolean {
         val now = context.clock()
-        if (state.expire(now)) flow.onServersChanged()
-        pools.tick(now)
-        hub.tick(now)
-        source.tick(now)
-        sweep.tick(now)
-        coordinator.tick()
+        val tasks = context.tasks
+        tasks.guarded("expire") { if (state.expire(now)) flow.onServersChanged() }
+        tasks.guarded("pools") { pools.tick(now) }
+        tasks.guarded("hub") { hub.tick(now) }
+        tasks.guarded("source") { source.tick(now) }
+        tasks.guarded("sweep") { sweep.tick(now) }
+        tasks.guarded("coordinator") { coordinator.tick() }
         return pools.hasWaiting || coordinator.isCoordinating
     }
 
-    private fun scheduleTick(milliseconds: Long) {
-        val run = {
-            val isBusy = guarded { tick() } ?: true
-            scheduleTick(if (isBusy) TICK_MILLISECONDS else IDLE_TICK_MILLISECONDS)
-        }
-        loop.schedule(run, milliseconds, TimeUnit.MILLISECONDS)
-    }
-
-    private fun scheduleEvery(milliseconds: Long, action: () -> Unit) {
-        loop.scheduleWithFixedDelay({ guarded(action) }, milliseconds, milliseconds, TimeUnit.MILLISECONDS)
-    }
-
-    /** An exception in one run must not cancel the later ones. */
-    @Suppress("TooGenericExceptionCaught")
-    private fun <T> guarded(action: () -> T): T? = try {
-        action()
-    } catch (exception: RuntimeException) {
-        log.fault("a periodic task failed", "cause" to exception.stackTraceToString())
-        null
-    }
-
     private fun waitUntil(end: Long, condition: () -> Boolean) {
         while (context.clock() < end && !condition()) Thread.sleep(POLL_MILLISECONDS)
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -42,11 +42,19 @@
     /** Merges [page] of [feed] at [now]; returns whether it contained new rows. */
     fun merge(feed: Feed, page: FeedPage, now: Long): Boolean {
         val newRows = rows(feed).merge(page, now)
-        newRows.forEach { row -> decoder.decode(feed, row, now)?.let { merge(it, row, now - row.age) } }
+        newRows.forEach { row -> mergeGuarded(feed, row, now) }
         changes++
         return newRows.isNotEmpty()
     }
 
+    /** A row that can't be merged must not keep out the others of its page, which count as known already. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun mergeGuarded(feed: Feed, row: TableRow, now: Long) = try {
+        decoder.decode(feed, row, now)?.let { merge(it, row, now - row.age) }
+    } catch (failure: Throwable) {
+        log.fault("cannot merge a row", "feed" to feed, "row" to row.key, "version" to row.version, "cause" to failure)
+    }
+
     /**
      * Removes servers whose entries have been missing for too long at [now], and adds those whose entries were held
      * back after the table was restored; returns whether there were any.
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -1,12 +1,12 @@
 /*
  * Follows one feed of the platform's table by long polling. It waits briefly between two calls, so that a burst of
  * changes costs one call. When other instances have newer rows than this one although its call is in flight, the call
- * is abandoned and repeated, since its connection may be open but dead.
+ * is abandoned and repeated, since its connection may be open but dead. Reading that has stopped is resumed, so that no
+ * failure ends it for good.
  */
 package rhubarbspool.entry
 
 import rhubarbspool.placement.TableOutage
-import java.util.concurrent.TimeUnit
 
 /** Reads [feed] while it is active and passes every page to [onPage]. Failed calls are retried with backoff. */
 internal class FeedFollower(
@@ -17,8 +17,7 @@
     private val onPage: (Feed, FeedPage) -> Unit,
 ) {
     private val delay = if (feed == Feed.SHARED) SHARED_DELAY_MILLISECONDS else BATCH_MILLISECONDS
-    private var currentCall = 0L
-    private var startedAt = 0L
+    private val calls = CallSequence(context, "feed.$feed")
     private var failures = 0
     private var scannedAt = context.clock()
     private var historyLostAt = scannedAt - STALE_READS_MILLISECONDS
@@ -39,20 +38,19 @@
     fun start() {
         if (isActive) return
         isActive = true
-        if (context.state.rows(feed).version == null) scan() else follow()
+        read()
     }
 
     /** Stops reading; the response of a call in flight is ignored. */
     fun stop() {
         if (!isActive) return
         isActive = false
-        currentCall++
+        calls.cancel()
     }
 
     /** Reads new rows once, without waiting for later changes. Does nothing while the follower is active. */
     fun readOnce() {
-        if (isActive) return
-        if (context.state.rows(feed).version == null) scan() else follow(0)
+        if (!isActive) read(wait = 0)
     }
 
     /** Another instance has a row of [version]. Until this one has it too, [staleSince] is set. */
@@ -61,41 +59,37 @@
         behindVersion = version
     }
 
-    /** Reads the table if newer rows have been known elsewhere for so long at [now] that they will not arrive here. */
+    /**
+     * Reads the table if newer rows have been known elsewhere for so long at [now] that they will not arrive here, or
+     * if reading has stopped.
+     */
     fun catchUp(now: Long) {
-        if (!isBehind || now - behindSince < ARRIVAL_MILLISECONDS) return
-        if (now - startedAt < if (isActive) REPEAT_AFTER_MILLISECONDS else SINGLE_READ_TIMEOUT_MILLISECONDS) return
-        context.log.event("feed.behind", "feed" to feed, "version" to context.state.rows(feed).version)
-        if (isActive) follow() else readOnce()
+        val repeatAfter = if (isActive) REPEAT_AFTER_MILLISECONDS else SINGLE_READ_TIMEOUT_MILLISECONDS
+        val isLate = isBehind && now - behindSince >= ARRIVAL_MILLISECONDS && now - calls.startedAt >= repeatAfter
+        val hasStopped = isActive && calls.isOverdue(now)
+        val version = context.state.rows(feed).version
+        if (hasStopped) context.log.fault("the reading of a feed has stopped", "feed" to feed, "version" to version)
+        if (isLate) context.log.event("feed.behind", "feed" to feed, "version" to version)
+        if (isLate || hasStopped) read(if (isActive) WAIT_MILLISECONDS else 0)
     }
 
-    private fun scan() {
-        val call = ++currentCall
-        startedAt = context.clock()
-        table.scan(feed).whenComplete { page, failure ->
-            if (call == currentCall) {
-                if (failure != null) onFailure(failure) else onSuccess(page)
-            }
+    /** Reads all rows if [scans], or else those that change within [wait] milliseconds. */
+    private fun read(wait: Long = WAIT_MILLISECONDS, scans: Boolean = context.state.rows(feed).version == null) {
+        if (scans) {
+            calls.call(SCAN_LIMIT_MILLISECONDS, { table.scan(feed) }, ::onResponse)
+        } else {
+            calls.call(wait, { table.follow(feed, context.state.rows(feed).version ?: 0, wait) }, ::onResponse)
         }
     }
 
-    private fun follow(wait: Long = WAIT_MILLISECONDS) {
-        val call = ++currentCall
-        startedAt = context.clock()
-        table.follow(feed, context.state.rows(feed).version ?: 0, wait).whenComplete { page, failure ->
-            if (call == currentCall) {
-                when {
-                    failure != null -> onFailure(failure)
-                    page == null -> {
-                        // Around a loss of history, feeds may omit changes and reads may be stale.
-                        val version = context.state.rows(feed).version
-                        context.log.event("feed.history-lost", "feed" to feed, "version" to version)
-                        historyLostAt = context.clock()
-                        scan()
-                    }
-                    else -> onSuccess(page)
-                }
-            }
+    private fun onResponse(page: FeedPage?, failure: Throwable?) = when {
+        failure != null -> onFailure(failure)
+        page != null -> onSuccess(page)
+        else -> {
+            // Around a loss of history, feeds may omit changes and reads may be stale.
+            context.log.event("feed.history-lost", "feed" to feed, "version" to context.state.rows(feed).version)
+            historyLostAt = context.clock()
+            read(scans = true)
         }
     }
 
@@ -104,22 +98,19 @@
         failingSince?.let { context.log.event("table.regained", "feed" to feed, "after" to now - it) }
         failingSince = null
         failures = 0
-        outage.recordAnswer(startedAt)
-        val isUnchanged = page.rows.isEmpty()
-        onPage(feed, page.copy(afterOutage = outage.isRecent(now)))
+        outage.recordAnswer(calls.startedAt)
         if (page.complete) scannedAt = now
-        if (isActive) scheduleNext(if (isUnchanged) 0 else delay)
+        if (isActive) scheduleNext(if (page.rows.isEmpty()) 0 else delay)
+        onPage(feed, page.copy(afterOutage = outage.isRecent(now)))
     }
 
     private fun scheduleNext(delay: Long) {
-        val call = currentCall
         val mayBeStale = context.clock() - historyLostAt < STALE_READS_MILLISECONDS
         val interval = if (mayBeStale) STALE_READS_SCAN_MILLISECONDS else SCAN_MILLISECONDS
-        val next = {
+        calls.schedule(delay) {
             val untilScan = scannedAt + interval - context.clock()
-            if (untilScan <= 0) scan() else follow(minOf(untilScan, WAIT_MILLISECONDS))
+            if (untilScan <= 0) read(scans = true) else read(minOf(untilScan, WAIT_MILLISECONDS))
         }
-        context.loop.schedule({ if (call == currentCall) next() }, delay, TimeUnit.MILLISECONDS)
     }
 
     private fun onFailure(failure: Throwable) {
@@ -136,9 +127,7 @@
         if (!isActive) return
         val wait = (FIRST_RETRY_MILLISECONDS shl minOf(failures++, MAXIMUM_DOUBLINGS))
         val jitter = (Math.random() * wait).toLong()
-        val call = currentCall
-        val next = { if (context.state.rows(feed).version == null) scan() else follow() }
-        context.loop.schedule({ if (call == currentCall) next() }, wait / 2 + jitter, TimeUnit.MILLISECONDS)
+        calls.schedule(wait / 2 + jitter) { read() }
     }
 
     private companion object {
@@ -166,6 +155,9 @@
 
         /** A single read without a response fails within this time. */
         const val SINGLE_READ_TIMEOUT_MILLISECONDS = 1_200L
+
+        /** A scan may take several calls. */
+        const val SCAN_LIMIT_MILLISECONDS = 20_000L
         const val FIRST_RETRY_MILLISECONDS = 200L
         const val MAXIMUM_DOUBLINGS = 2
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseRunner.kt
@@ -38,7 +38,8 @@
     /** Releases the lease, so that another instance need not wait until it expires. */
     fun release() {
         lease.relinquish()
-        table.write(KEY, followed = false, lease.expectedVersion, null).whenComplete { _, failure ->
+        val write = table.write(KEY, followed = false, lease.expectedVersion, null)
+        context.tasks.onResult("lease.release", write) { _, failure ->
             if (failure != null) context.log.event("coordinator.not-released", "cause" to failure.message)
         }
     }
@@ -57,7 +58,7 @@
     }
 
     private fun read() {
-        table.readUnfollowed(KEY).whenComplete { row, failure ->
+        context.tasks.onResult("lease.read", table.readUnfollowed(KEY)) { row, failure ->
             if (failure == null) {
                 lease.onRowRead(row?.value, row?.version ?: 0, context.now(), table.epoch)
             } else {
@@ -67,7 +68,8 @@
     }
 
     private fun write() {
-        table.write(KEY, followed = false, lease.expectedVersion, self).whenComplete { result, failure ->
+        val write = table.write(KEY, followed = false, lease.expectedVersion, self)
+        context.tasks.onResult("lease.write", write) { result, failure ->
             when {
                 failure != null -> lease.onWriteFailed()
                 result is WriteResult.Written -> lease.onWritten(result.version, context.now(), table.epoch)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberRow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberRow.kt
@@ -3,8 +3,6 @@
  */
 package rhubarbspool.entry
 
-import java.util.concurrent.TimeUnit
-
 /** Writes the row of this instance when it is missing or out of date. */
 internal class MemberRow(private val context: ProcessContext, private val table: PlatformTable) {
     private val self =
@@ -15,20 +13,18 @@
     /** Version of the row; 0 if there is none. */
     private val knownVersion: Long get() = context.state.shared.memberVersions[self.instance] ?: 0
 
-    /** Checks the row now and then periodically. */
-    fun maintain() {
-        if (isLeaving) return
+    /** Checks the row; returns the milliseconds until the next check. */
+    fun maintain(): Long {
         val shared = context.state.shared
         val rows = context.state.rows(Feed.SHARED)
         val isCurrent = shared.members[self.instance] == self && rows.isStored(key)
         val isRead = rows.version != null
-        if (!isCurrent && isRead) write()
-        val wait = when {
+        if (!isCurrent && isRead && !isLeaving) write()
+        return when {
             !isRead -> FIRST_READ_MILLISECONDS
             isCurrent -> CHECK_MILLISECONDS
             else -> WRITE_MILLISECONDS
         }
-        context.loop.schedule(::maintain, wait, TimeUnit.MILLISECONDS)
     }
 
     /** Removes the row; it is not written again. */
@@ -38,7 +34,8 @@
     }
 
     private fun write() {
-        table.write(key, followed = true, knownVersion, self.encode()).whenComplete { result, failure ->
+        val write = table.write(key, followed = true, knownVersion, self.encode())
+        context.tasks.onResult("member.write", write) { result, failure ->
             if (failure != null) context.log.event("member.unwritten", "cause" to failure.message)
             when (result) {
                 is WriteResult.Written -> onWritten(result.version)
@@ -55,7 +52,8 @@
 
     private fun remove(attempts: Int) {
         if (knownVersion == 0L || attempts == 0) return
-        table.write(key, followed = true, knownVersion, null).whenComplete { result, failure ->
+        val write = table.write(key, followed = true, knownVersion, null)
+        context.tasks.onResult("member.remove", write) { result, failure ->
             if (failure != null) context.log.event("member.not-removed", "cause" to failure.message)
             if (result is WriteResult.Conflict) {
                 recordVersion(result.current?.version)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberSweep.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/MemberSweep.kt
@@ -44,7 +44,8 @@
         }
         val state = if (value == null) "removing" else "challenged"
         context.log.belief("member", "instance" to instance, "state" to state, "version" to version)
-        table.write(Member.keyOf(instance), followed = true, version, value).whenComplete { _, failure ->
+        val write = table.write(Member.keyOf(instance), followed = true, version, value)
+        context.tasks.onResult("member.sweep", write) { _, failure ->
             if (failure != null) context.log.event("member.not-swept", "cause" to failure.message)
         }
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipCalls.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipCalls.kt
@@ -19,7 +19,7 @@
     /** Sends [grant] and passes its result to [coordinator]. */
     fun grant(coordinator: OwnershipCoordinator, grant: OwnershipEffect.Grant) {
         val sentAt = context.clock()
-        orders.grant(grant, service.healthPath).whenComplete { response, failure ->
+        context.tasks.onResult("grant", orders.grant(grant, service.healthPath)) { response, failure ->
             val result = response?.result ?: OrderResult.UNANSWERED
             if (result != OrderResult.ACCEPTED) logResult("grant", grant.owner, grant.keys, result, failure)
             coordinator.onGrant(grant, result, sentAt, context.clock())
@@ -28,7 +28,7 @@
 
     /** Sends [release] and passes its result to [coordinator]. */
     fun release(coordinator: OwnershipCoordinator, release: OwnershipEffect.Release) {
-        orders.release(release).whenComplete { response, failure ->
+        context.tasks.onResult("release", orders.release(release)) { response, failure ->
             val result = response?.result ?: OrderResult.UNANSWERED
             logResult("release", release.owner, release.keys, result, failure)
             coordinator.onRelease(release, result, response?.handover)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/OwnershipRunner.kt
@@ -64,7 +64,8 @@
         isFencing = true
         retryAt = now + RETRY_MILLISECONDS
         val text = document.copy(epoch = table.epoch).encode()
-        table.write(key, followed = true, known?.version ?: 0, text).whenComplete { result, failure ->
+        val write = table.write(key, followed = true, known?.version ?: 0, text)
+        context.tasks.onResult("owners.fence", write) { result, failure ->
             isFencing = false
             when (result) {
                 is WriteResult.Written -> {
@@ -114,7 +115,7 @@
     private fun write(current: OwnershipCoordinator, document: OwnershipDocument) {
         val text = document.copy(epoch = table.epoch).encode()
         unconfirmed = null
-        table.write(key, followed = true, version, text).whenComplete { result, failure ->
+        context.tasks.onResult("owners.write", table.write(key, followed = true, version, text)) { result, failure ->
             val found = (result as? WriteResult.Conflict)?.current
             val isRestored = TableVersion.epoch(version) < table.epoch
             when {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
@@ -16,6 +16,9 @@
     val metrics: EntryMetrics,
     val now: () -> Now,
 ) {
+    /** Tasks on the event loop. */
+    val tasks = LoopTasks(loop, log)
+
     /** The settings in force. */
     var settings: EntrySettings = settings
         private set
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
@@ -15,7 +15,6 @@
 import rhubarbspool.traffic.TrafficSplit
 import java.util.Locale
 import java.util.concurrent.Future
-import java.util.concurrent.TimeUnit
 
 /** Dependencies and shared state of request handling. */
 internal class RequestContext(
@@ -40,7 +39,7 @@
 
     /** Schedules [action] on the event loop after [milliseconds]. */
     fun schedule(milliseconds: Long, action: () -> Unit): Future<*> =
-        process.loop.schedule(action, maxOf(0, milliseconds), TimeUnit.MILLISECONDS)
+        process.tasks.schedule("request", milliseconds, action)
 
     /** This instance's share of the retries that may be sent in a window beyond the budget's ratio to the requests. */
     val retrySlack: Double
