Tell responses to attempts and orders apart by more than their order

Cause: attempts of one request share the id that tells responses apart, and the connection, which is reused last in first out; a response without an id was taken for whatever was expected; and orders and writes carry no id at all.

No two attempts of a request share a connection now. A response without an id counts only on a connection's first request: behind others it says nothing, so the outcome is unknown.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/HoldTable.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/HoldTable.kt
@@ -21,19 +21,23 @@
         }
     }
 
-    /** Records the [result] at [now] of a [grant] of [range] that was sent at [sentAt]. */
+    /**
+     * Records the [result] at [now] of a [grant] of [range] that was sent at [sentAt]. A refusal may be a late copy of
+     * an earlier one, so it does not show that the grant was not accepted.
+     */
     fun onGrant(range: Int, grant: OwnershipEffect.Grant, result: OrderResult, sentAt: Long, now: Long) {
         val hold = holds[range]
         val until = now + HoldTimes.longestHold(grant.holdMilliseconds)
-        val mayHold = result == OrderResult.ACCEPTED || result == OrderResult.UNANSWERED
+        val mayHold = result != OrderResult.NOT_SENT
         hold.callInFlight = false
         if (mayHold) {
             hold.lastArrivalAt = maxOf(hold.lastArrivalAt, now)
             hold.mayHoldUntil = maxOf(hold.mayHoldUntil, until)
         }
         val isFencing = grant.fence % 2 == 1L
-        if (result == OrderResult.UNANSWERED && isFencing) hold.fencingUntil = maxOf(hold.fencingUntil, until)
-        if (result == OrderResult.UNANSWERED && !isFencing) hold.unansweredUntil = maxOf(hold.unansweredUntil, until)
+        val isUnconfirmed = mayHold && result != OrderResult.ACCEPTED
+        if (isUnconfirmed && isFencing) hold.fencingUntil = maxOf(hold.fencingUntil, until)
+        if (isUnconfirmed && !isFencing) hold.unansweredUntil = maxOf(hold.unansweredUntil, until)
         if (result == OrderResult.ACCEPTED) {
             hold.grantedAt = sentAt
             hold.earlierGrantsUntil = RangeHold.NEVER
--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
@@ -1,6 +1,8 @@
 /*
  * A small HTTP client over Netty for requests and responses that fit in memory, used for the platform's services,
- * health endpoints and the operators' command line. Idle connections are kept open and reused.
+ * health endpoints and the operators' command line. Idle connections are kept open and reused. On a reused connection,
+ * only the order of responses shows which call one belongs to, and a faulty server may send one twice; calls for which
+ * that matters are sent on a connection of their own.
  */
 package rhubarbspool.edge
 
@@ -33,12 +35,13 @@
 /** A complete HTTP response. */
 data class HttpAnswer(val status: Int, val headers: Map<String, String>, val body: String)
 
-/** A complete HTTP request. */
+/** A complete HTTP request; with [isExclusive], it is the only one on its connection. */
 data class HttpCall(
     val method: String,
     val path: String,
     val body: String = "",
     val headers: Map<String, String> = emptyMap(),
+    val isExclusive: Boolean = false,
 )
 
 /** Sends HTTP requests; each response is limited to [maximumAnswerBytes] and to [timeoutMilliseconds]. */
@@ -52,7 +55,7 @@
     /** Sends [call] to [address]; the future fails when no complete response arrives before the timeout. */
     fun send(address: Address, call: HttpCall): CompletableFuture<HttpAnswer> {
         val answer = CompletableFuture<HttpAnswer>()
-        val idleChannel = pollIdle(address)
+        val idleChannel = if (call.isExclusive) null else pollIdle(address)
         if (idleChannel != null) {
             exchange(idleChannel, address, call, answer)
         } else {
@@ -76,6 +79,11 @@
         }
     }
 
+    /** Closes the idle connections to [address]. */
+    fun closeIdle(address: Address) {
+        generateSequence { pollIdle(address) }.forEach { it.close() }
+    }
+
     private fun pollIdle(address: Address): Channel? {
         val channels = idle[address] ?: return null
         return synchronized(channels) { generateSequence { channels.pollFirst() }.firstOrNull { it.isActive } }
@@ -108,7 +116,7 @@
     }
 
     private fun exchange(channel: Channel, address: Address, call: HttpCall, answer: CompletableFuture<HttpAnswer>) {
-        val handler = AnswerHandler(address, answer)
+        val handler = AnswerHandler(address, call, answer)
         channel.pipeline().addLast(handler)
         answer.whenComplete { _, failure -> if (failure != null) closeWithReset(channel) }
         channel.writeAndFlush(toNettyRequest(address, call)).addListener {
@@ -128,11 +136,13 @@
         request.headers().set(HttpHeaderNames.HOST, address.toString())
         call.headers.forEach { (name, value) -> request.headers().set(name, value) }
         HttpUtil.setContentLength(request, body.readableBytes().toLong())
+        if (call.isExclusive) HttpUtil.setKeepAlive(request, false)
         return request
     }
 
     private inner class AnswerHandler(
         private val address: Address,
+        private val call: HttpCall,
         private val answer: CompletableFuture<HttpAnswer>,
     ) : SimpleChannelInboundHandler<FullHttpResponse>() {
         override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
@@ -149,7 +159,7 @@
             val headers = response.headers().associate { it.key.lowercase() to it.value }
             val body = response.content().toString(Charsets.UTF_8)
             context.pipeline().remove(this)
-            if (HttpUtil.isKeepAlive(response) && !answer.isDone) {
+            if (HttpUtil.isKeepAlive(response) && !answer.isDone && !call.isExclusive) {
                 val channels = idle.computeIfAbsent(address) { ArrayDeque() }
                 synchronized(channels) { channels.addFirst(context.channel()) }
             } else {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestState.kt
@@ -3,6 +3,7 @@
  */
 package rhubarbspool.entry
 
+import io.netty.channel.ChannelId
 import rhubarbspool.dispatch.AttemptState
 import rhubarbspool.model.ServerName
 import rhubarbspool.ownership.OwnershipDocument
@@ -43,6 +44,12 @@
     /** Servers that the request was sent to, or could not be sent to. */
     val triedServers = LinkedHashSet<ServerName>()
 
+    /**
+     * Connections that carried an attempt. Attempts share the id that tells responses apart, so no two of them share a
+     * connection.
+     */
+    val usedConnections = HashSet<ChannelId>()
+
     /** Number of servers that may have started to run the request. */
     var runs = 0
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerCall.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerCall.kt
@@ -42,7 +42,7 @@
     fun start() {
         val maximumIdle =
             if (state.repeatable) ServerConnections.NO_IDLE_LIMIT else ServerConnections.ONCE_ONLY_IDLE_MILLISECONDS
-        context.connections.acquire(entry.address, maximumIdle, ::onConnection)
+        context.connections.acquire(entry.address, maximumIdle, state.usedConnections, ::onConnection)
     }
 
     /** Cancels the call with [outcome]; the server drops the request. */
@@ -158,6 +158,7 @@
                 "key" to state.key,
             ),
         )
+        state.usedConnections += channel.id()
         val outgoing = ServerRequests.of(state.callerRequest, entry, context.names, remaining)
         val started = ServerExchange(channel, outgoing, state.id, context.names, this) { idle, keepAlive ->
             context.connections.release(entry.address, idle, keepAlive)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerConnections.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerConnections.kt
@@ -7,6 +7,7 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelId
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -31,10 +32,10 @@
 
     /**
      * Passes a connection to [onConnection], or null if none can be opened; a reused one has been idle for at most
-     * [maximumIdle] milliseconds.
+     * [maximumIdle] milliseconds and is none of [excluded].
      */
-    fun acquire(address: Address, maximumIdle: Long, onConnection: (Channel?) -> Unit) {
-        val reused = pollIdle(address, maximumIdle)
+    fun acquire(address: Address, maximumIdle: Long, excluded: Set<ChannelId>, onConnection: (Channel?) -> Unit) {
+        val reused = pollIdle(address, maximumIdle, excluded)
         if (reused != null) onConnection(reused) else connect(address, onConnection)
     }
 
@@ -60,16 +61,18 @@
         idle.remove(address)?.forEach { it.channel.close() }
     }
 
-    private fun pollIdle(address: Address, maximumIdle: Long): Channel? {
+    private fun pollIdle(address: Address, maximumIdle: Long, excluded: Set<ChannelId>): Channel? {
         val now = clock()
-        val connections = idle[address]
-        var found: Channel? = null
-        while (found == null && !connections.isNullOrEmpty()) {
-            val connection = connections.removeFirst()
-            val isFresh = now - connection.idleSince <= minOf(connection.maximumIdleTime, maximumIdle)
-            if (connection.channel.isActive && isFresh) found = connection.channel else connection.channel.close()
+        val connections = idle[address] ?: return null
+        val (usable, stale) = connections.partition {
+            val isFresh = now - it.idleSince <= minOf(it.maximumIdleTime, maximumIdle)
+            it.channel.isActive && isFresh
         }
-        return found
+        connections.removeAll(stale)
+        stale.forEach { it.channel.close() }
+        val found = usable.firstOrNull { it.channel.id() !in excluded }
+        connections.remove(found)
+        return found?.channel
     }
 
     private fun connect(address: Address, onConnection: (Channel?) -> Unit) {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
@@ -1,7 +1,8 @@
 /*
  * One request to a backend server over one connection. Small responses are buffered until they are complete, so that a
  * request whose response breaks off can be retried; large ones are streamed. A response that carries another request's
- * id belongs to that request and is discarded.
+ * id belongs to that request and is discarded. One that carries none may be a late copy of an earlier response if the
+ * connection was used before, so it says nothing about this request.
  */
 package rhubarbspool.entry
 
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AttributeKey
 import io.netty.util.ReferenceCountUtil
 
 /** Why an exchange ended without a complete response. */
@@ -37,7 +39,10 @@
     fun onBroken(cause: BreakCause, streaming: Boolean)
 }
 
-/** Sends [request], which has [id], over [channel]; [release] returns the connection if it can be reused. */
+/**
+ * Sends [request], which has [id], over [channel], which no other request with that id may have used; [release] returns
+ * the connection if it can be reused.
+ */
 internal class ServerExchange(
     private val channel: Channel,
     private val request: FullHttpRequest,
@@ -46,6 +51,7 @@
     private val listener: ExchangeListener,
     private val release: (Channel, Long) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
+    private val isReused = channel.hasAttr(USED)
     private var head: ServerHead? = null
     private var isSkipping = false
     private var isStreaming = false
@@ -56,6 +62,7 @@
 
     /** Sends the request. */
     fun start() {
+        channel.attr(USED).set(true)
         channel.pipeline().addLast(this)
         channel.writeAndFlush(request).addListener {
             isRequestWritten = true
@@ -99,10 +106,12 @@
 
     private fun onHead(response: HttpResponse) {
         val responseHead = ServerHead.of(response)
-        isSkipping = ServerHead.isUnrelated(response, id, names)
+        val echoedId = ServerHead.echoedId(response, names)
+        isSkipping = ServerHead.isInterim(response) || (echoedId != null && echoedId != id)
         when {
             response.decoderResult().isFailure -> abort(BreakCause.NOT_HTTP)
             isSkipping -> Unit
+            echoedId == null && isReused -> abort(BreakCause.WRONG_ANSWER)
             responseHead.isAcceptable(names) -> head = responseHead
             else -> abort(BreakCause.WRONG_ANSWER)
         }
@@ -159,5 +168,8 @@
         /** Responses up to this size are buffered until they are complete; larger ones are streamed. */
         const val MAXIMUM_BUFFERED_BYTES = 131_072
         const val MAXIMUM_BUFFERED_PARTS = 4_096
+
+        /** Set on a connection that has carried a request. */
+        val USED: AttributeKey<Boolean> = AttributeKey.valueOf("rhubarbspool.used")
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerHead.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerHead.kt
@@ -60,10 +60,10 @@
             return ServerHead(status, response.headers(), reusable)
         }
 
-        /** Whether [response] belongs to a request other than [id], or is an interim response. */
-        fun isUnrelated(response: HttpResponse, id: String, names: HeaderNames): Boolean {
-            val echoedId = response.headers().get(names.requestId)
-            return response.status().code() < FIRST_FINAL_STATUS || (echoedId != null && echoedId != id)
-        }
+        /** Whether [response] is an interim response. */
+        fun isInterim(response: HttpResponse): Boolean = response.status().code() < FIRST_FINAL_STATUS
+
+        /** The id of the request that [response] says it belongs to, if any. */
+        fun echoedId(response: HttpResponse, names: HeaderNames): String? = response.headers().get(names.requestId)
     }
 }
