Believe that the coordinator's lease was released

Cause: the stop removes the lease's row. A missing row has version 0, and a state was taken for an old one if its version was below the known one, so no instance that knew the row believed that it was gone; all wrote it under the old version and got 412 for good. Ruled out: the rank delay (they do write).

The state of the row, present or not, is now ordered by the version of the table in which it was seen, which the store's responses bring along. A stopping process does not take the lease again, and gives back one that a write in flight acquires. Lost instances don't count in the order of candidates. A conflict names the table's version for the same reason.

CoordinatorLeaseTest has the removed row; it was not run on the code before, whose function has no such argument.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/CoordinatorLease.kt
@@ -68,13 +68,13 @@
     }
 
     /**
-     * Records that the row has [holder] and [version], 0 if there is no row, in the table's [epoch]. Drops the lease if
-     * another process holds it. A table that was restored has an earlier holder, so the lease is then kept while it
-     * lasts, since all others wait for longer than that, and is dropped otherwise.
+     * Records that the row has [holder] and [version], 0 if there is no row, in [tableVersion] of the table and in its
+     * [epoch]. Drops the lease if another process holds it. A table that was restored has an earlier holder, so the
+     * lease is then kept while it lasts, since all others wait for longer than that, and is dropped otherwise.
      */
-    fun onRowRead(holder: String?, version: Long, now: Now, epoch: Long = 0) {
+    fun onRowRead(holder: String?, version: Long, now: Now, epoch: Long = 0, tableVersion: Long = version) {
         val isRestored = row.isRestored(epoch)
-        if (!row.onRowRead(holder, version, epoch, now.monotonic)) return
+        if (!row.onRowRead(holder, version, tableVersion, epoch, now.monotonic)) return
         val isLost = if (isRestored) !isHeld(now) else holder != self
         if (isLost) relinquish()
     }
@@ -88,7 +88,7 @@
         writeInFlight = null
         lastWriteFailed = false
         isInterrupted = false
-        row.onRowRead(self, version, epoch, now.monotonic)
+        row.onRowRead(self, version, version, epoch, now.monotonic)
     }
 
     /** Records that the write failed or that its outcome is unknown; the row is read again. */
--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LeaseRow.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/ownership/LeaseRow.kt
@@ -13,6 +13,9 @@
     var version = NOT_READ
         private set
 
+    /** Version of the table in which the row was last seen; a removed row has none of its own. */
+    private var tableVersion = NOT_READ
+
     /** Holder in the last known version of the row, if any. */
     var holder: String? = null
         private set
@@ -24,13 +27,15 @@
     fun isRestored(epoch: Long): Boolean = isKnown && epoch > this.epoch
 
     /**
-     * Records that the row has [holder] and [version] in the table's [epoch]; returns false if a newer one is known.
+     * Records that the row has [holder] and [version] in [tableVersion] of the table and in its [epoch]; returns false
+     * if a newer state is known.
      */
-    fun onRowRead(holder: String?, version: Long, epoch: Long, now: Long): Boolean {
-        if (epoch < this.epoch || (epoch == this.epoch && version < this.version)) return false
+    fun onRowRead(holder: String?, version: Long, tableVersion: Long, epoch: Long, now: Long): Boolean {
+        if (epoch < this.epoch || (epoch == this.epoch && tableVersion < this.tableVersion)) return false
         if (epoch > this.epoch) restoredAt = now
         if (epoch > this.epoch || version != this.version) unchangedSince = now
         this.epoch = epoch
+        this.tableVersion = tableVersion
         this.version = version
         this.holder = holder
         return true
--- a/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/CoordinatorLeaseTest.kt
+++ b/rhubarbspool-core/src/test/kotlin/rhubarbspool/ownership/CoordinatorLeaseTest.kt
@@ -51,6 +51,31 @@
         lease.nextStep(0, now(CoordinatorLease.TAKEOVER_MILLISECONDS + 100)) shouldNotBe LeaseStep.WRITE
     }
 
+    data class RemovedCase(val what: String, val tableVersion: Long, val step: LeaseStep)
+
+    // Guards against a removed row, which has no version, that is taken for an older state and never written again.
+    listOf(
+        RemovedCase("after the known version", tableVersion = 8, step = LeaseStep.WRITE),
+        RemovedCase("before the known version, in a late response", tableVersion = 6, step = LeaseStep.NOTHING),
+    ).forEach { case ->
+        test("a known row that is found to be missing ${case.what}") {
+            val lease = CoordinatorLease("b/10.0.0.2:1/1")
+            lease.onStepStarted(LeaseStep.READ, now(0))
+            lease.onRowRead("a/10.0.0.1:1/1", 7, now(0))
+            lease.onRowRead(null, 0, now(100), tableVersion = case.tableVersion)
+            lease.nextStep(0, now(100)) shouldBe case.step
+            lease.expectedVersion shouldBe if (case.step == LeaseStep.WRITE) 0 else 7
+        }
+    }
+
+    test("a row that was released and taken by another instance is not written") {
+        val lease = CoordinatorLease("b/10.0.0.2:1/1")
+        lease.onRowRead("a/10.0.0.1:1/1", 7, now(0))
+        lease.onRowRead(null, 0, now(100), tableVersion = 8)
+        lease.onRowRead("c/10.0.0.3:1/1", 9, now(200))
+        lease.nextStep(0, now(300)) shouldNotBe LeaseStep.WRITE
+    }
+
     data class RestoredCase(val description: String, val holder: String?, val version: Long)
 
     listOf(
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CoordinatorRunner.kt
@@ -16,6 +16,7 @@
     private val lease = LeaseRunner(context, table)
     private val runners = HashMap<ServiceName, OwnershipRunner>()
     private var wasHeld = false
+    private var isStopped = false
 
     /** Whether this instance coordinated at the last tick. */
     val isCoordinating: Boolean get() = wasHeld
@@ -24,7 +25,8 @@
     fun tick() {
         val now = context.now()
         val state = context.state
-        if (state.rows(Feed.SHARED).version == null || state.rows(Feed.SERVERS).version == null) return
+        val isRead = state.rows(Feed.SHARED).version != null && state.rows(Feed.SERVERS).version != null
+        if (isStopped || !isRead) return
         if (lease.isInterrupted) runners.clear()
         lease.tick(now)
         val isHeld = lease.isHeld(now)
@@ -36,12 +38,12 @@
         if (isHeld) tickServices(now)
     }
 
-    /** Releases the lease at a planned stop. */
+    /** Releases the lease at a planned stop; this instance does not coordinate again. */
     fun stop() {
-        if (!wasHeld) return
+        isStopped = true
         wasHeld = false
         runners.clear()
-        lease.release()
+        lease.stop(context.now())
     }
 
     /** Records the load of a service that an instance reported. */
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseRunner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/LeaseRunner.kt
@@ -11,6 +11,7 @@
 internal class LeaseRunner(private val context: ProcessContext, private val table: PlatformTable) {
     private val self = context.settings.run { "$instance/$peers/${context.now().wall}" }
     private val lease = CoordinatorLease(self)
+    private var isStopped = false
 
     /** The holder that was last read and the version of its row. */
     val knownHolder: Pair<String?, Long> get() = lease.knownHolder to lease.expectedVersion
@@ -26,6 +27,7 @@
 
     /** Reads or writes the lease row if this is due at [now]. */
     fun tick(now: Now) {
+        if (isStopped) return
         val step = lease.nextStep(rank(), now)
         lease.onStepStarted(step, now)
         when (step) {
@@ -35,8 +37,13 @@
         }
     }
 
-    /** Releases the lease, so that another instance need not wait until it expires. */
-    fun release() {
+    /** Releases the lease, so that another instance need not wait until it expires; it is not acquired again. */
+    fun stop(now: Now) {
+        isStopped = true
+        if (lease.isHeld(now)) release()
+    }
+
+    private fun release() {
         lease.relinquish()
         val write = table.write(KEY, followed = false, lease.expectedVersion, null)
         context.tasks.onResult("lease.release", write) { _, failure ->
@@ -44,10 +51,10 @@
         }
     }
 
-    /** Position of this instance among the candidates, in a fixed order that excludes the current holder. */
+    /** Position of this instance among the candidates, in a fixed order without the holder and those that are lost. */
     private fun rank(): Int {
         val holder = lease.knownHolder?.substringBefore('/')
-        val order = context.duties.order(KEY)
+        val order = context.duties.order(KEY).filterNot { context.reachability.isAvoided(it.instance) }
         val position = order.indexOfFirst { it.instance == context.settings.instance }
         val holderPosition = order.indexOfFirst { it.instance.text == holder }
         return when {
@@ -58,12 +65,8 @@
     }
 
     private fun read() {
-        context.tasks.onResult("lease.read", table.readUnfollowed(KEY)) { row, failure ->
-            if (failure == null) {
-                lease.onRowRead(row?.value, row?.version ?: 0, context.now(), table.epoch)
-            } else {
-                lease.onReadFailed(context.now())
-            }
+        context.tasks.onResult("lease.read", table.readUnfollowed(KEY)) { found, _ ->
+            if (found == null) lease.onReadFailed(context.now()) else onRowRead(found.row, found.version)
         }
     }
 
@@ -72,15 +75,23 @@
         context.tasks.onResult("lease.write", write) { result, failure ->
             when {
                 failure != null -> lease.onWriteFailed()
-                result is WriteResult.Written -> lease.onWritten(result.version, context.now(), table.epoch)
+                result is WriteResult.Written -> onWritten(result.version)
                 result is WriteResult.Conflict -> {
                     lease.onWriteFailed()
-                    lease.onRowRead(result.current?.value, result.current?.version ?: 0, context.now(), table.epoch)
+                    onRowRead(result.current, result.version)
                 }
             }
         }
     }
 
+    private fun onWritten(version: Long) {
+        lease.onWritten(version, context.now(), table.epoch)
+        if (isStopped) release()
+    }
+
+    private fun onRowRead(row: TableRow?, tableVersion: Long) =
+        lease.onRowRead(row?.value, row?.version ?: 0, context.now(), table.epoch, tableVersion)
+
     private companion object {
         const val KEY = "coordinator"
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PlatformPort.kt
@@ -5,6 +5,7 @@
 package rhubarbspool.entry
 
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
 import rhubarbspool.model.FailureDomainName
 import rhubarbspool.model.ServerName
 import rhubarbspool.ownership.OrderResult
@@ -62,6 +63,7 @@
  *
  * @property complete whether the page contains all rows of the feed and not only the changed ones.
  * @property afterOutage whether all rows were read shortly after an outage of the table, whatever their own flags say.
+ * @property previousVersion the version up to which a receiver must know all changes before it gets this page.
  */
 @Serializable
 data class FeedPage(
@@ -69,6 +71,7 @@
     val rows: List<TableRow>,
     val complete: Boolean,
     val afterOutage: Boolean = false,
+    @Transient val previousVersion: Long? = null,
 )
 
 /** Decodes rows of a feed. */
@@ -81,10 +84,13 @@
 sealed interface WriteResult {
     data class Written(val version: Long) : WriteResult
 
-    /** The row had another version; [current] is the row, or null when it does not exist. */
-    data class Conflict(val current: TableRow?) : WriteResult
+    /** The row had another version; [current] is the row, or null when it does not exist, in [version] of the table. */
+    data class Conflict(val current: TableRow?, val version: Long) : WriteResult
 }
 
+/** A [row], or null when it does not exist, as it was in [version] of the table. */
+data class RowRead(val row: TableRow?, val version: Long)
+
 /**
  * The platform's table. A call that was refused or got no response fails its future. All versions are [TableVersion]s.
  */
@@ -101,8 +107,8 @@
      */
     fun follow(feed: Feed, after: Long, waitMilliseconds: Long): CompletableFuture<FeedPage?>
 
-    /** The row [key] that belongs to no feed; null when it does not exist. */
-    fun readUnfollowed(key: String): CompletableFuture<TableRow?>
+    /** The row [key] that belongs to no feed. */
+    fun readUnfollowed(key: String): CompletableFuture<RowRead>
 
     /** Writes [value] to [key] if the row's version is [expected], 0 for no row; a null value removes the row. */
     fun write(key: String, followed: Boolean, expected: Long, value: String?): CompletableFuture<WriteResult>
