Send each subscriber the newest rows only, compressed, configurations first

Each version of the owners' document went whole and uncompressed to each subscriber, encoded anew for each, and a configuration of 1,600 routes queued behind all versions that had been sent before it.

Now a subscriber whose connection is full gets nothing until it can take more, and then what has changed, configurations first; rows never queue behind rows that they replace. What is on its way is bounded by the socket's buffer. Messages with rows are encoded once for all, and compressed for subscribers that say they can read that. A scan passes on the rows that are new instead of all. An instance that knows of a newer configuration than its own refuses unknown routes for now (503) instead of as wrong (404).

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -45,7 +45,8 @@
     private val sweep = MemberSweep(context, hub.probes, platform.table)
     private val links = ServerConnections(group, context::clock)
     private val load = LoadCounter(state)
-    private val flow = RequestFlow(RequestContext(context, platform.headers, hub, links, load))
+    private val requests = RequestContext(context, platform.headers, hub, links, load)
+    private val flow = RequestFlow(requests) { source.isConfigurationBehind }
     private val callers = CallerServer(group, context, flow)
     private val serverChannels = ArrayList<Channel>()
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryState.kt
@@ -39,12 +39,22 @@
         rows(Feed.SHARED).newestVersion,
     )
 
-    /** Merges [page] of [feed] at [now]; returns whether it contained new rows. */
-    fun merge(feed: Feed, page: FeedPage, now: Long): Boolean {
-        val newRows = rows(feed).merge(page, now)
+    /**
+     * Merges [page] of [feed] at [now]; returns what is to be passed on to instances that knew the same rows before,
+     * null if there are no new rows. Rows that were found missing can be told only by the whole page.
+     */
+    fun merge(feed: Feed, page: FeedPage, now: Long): FeedPage? {
+        val rows = rows(feed)
+        val previous = rows.version
+        val lastChange = rows.lastChangeVersion
+        val newRows = rows.merge(page, now)
+        val keys = page.rows.mapTo(HashSet()) { it.key }
+        val isSameEpoch = previous != null && TableVersion.epoch(previous) == TableVersion.epoch(page.version)
+        val isDelta = isSameEpoch && newRows.all { it.key in keys }
         newRows.forEach { row -> mergeGuarded(feed, row, now) }
         changes++
-        return newRows.isNotEmpty()
+        val news = if (isDelta) page.copy(rows = newRows, complete = false) else page
+        return news.copy(previousVersion = lastChange).takeIf { newRows.isNotEmpty() }
     }
 
     /** A row that can't be merged must not keep out the others of its page, which count as known already. */
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedFollower.kt
@@ -25,7 +25,9 @@
     private var failingSince: Long? = null
     private var behindSince = 0L
     private var behindVersion = 0L
-    private val isBehind: Boolean get() = context.state.rows(feed).newestVersion < behindVersion
+
+    /** Whether another instance has newer rows than this one. */
+    val isBehind: Boolean get() = context.state.rows(feed).newestVersion < behindVersion
 
     /** Monotonic time since which calls failed or newer rows were known elsewhere; null while reading works. */
     val staleSince: Long? get() = listOfNotNull(failingSince, behindSince.takeIf { isBehind }).minOrNull()
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedRows.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/FeedRows.kt
@@ -18,6 +18,9 @@
     var version: Long? = null
         private set
 
+    /** Version of the last change: of the newest row, or of the table when rows were last found missing. */
+    val lastChangeVersion: Long get() = maxOf(newestVersion, removalVersion)
+
     /** Version of the newest row; the table's own version also grows with rows of other feeds. */
     var newestVersion: Long = 0
         private set
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
@@ -77,9 +77,12 @@
     }
 }
 
-/** Subscribes to all rows of the platform's table that are newer than the versions in [known]. */
+/**
+ * Subscribes to all rows of the platform's table that are newer than the versions in [known]; [acceptsPacked] if the
+ * sender can read compressed rows.
+ */
 @Serializable
-internal data class SubscribeMessage(val known: FeedVersions)
+internal data class SubscribeMessage(val known: FeedVersions, val acceptsPacked: Boolean = false)
 
 /**
  * Rows of [feed]. With [resigns], the receiver must subscribe to another instance, since the sender failed to read the
@@ -124,4 +127,5 @@
     val load: LoadMessage? = null,
     val hello: String = "",
     val ping: Boolean = false,
+    val packedRows: PackedRows? = null,
 )
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerServer.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerServer.kt
@@ -31,6 +31,8 @@
             }
         }
 
+        override fun onWritable(channel: Channel) = subscribers.onWritable(channel)
+
         override fun onDisconnected() {
             subscribers.remove(channel)
             asker?.let { pools.detach(it, context.clock()) }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
@@ -32,6 +32,9 @@
 
     fun onReceived(message: PeerMessage)
 
+    /** More can be sent over [channel]. */
+    fun onWritable(channel: Channel) = Unit
+
     fun onDisconnected()
 }
 
@@ -41,6 +44,7 @@
     fun listen(address: Address, accept: (Channel) -> PeerListener): Channel = ServerBootstrap().group(group)
         .channel(NioServerSocketChannel::class.java)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
         .childHandler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) = addHandlers(channel, accept(channel))
         })
@@ -59,8 +63,11 @@
     }
 
     /** Sends [message] over [channel]. */
-    fun send(channel: Channel, message: PeerMessage) {
-        channel.writeAndFlush(Unpooled.wrappedBuffer(encode(message)), channel.voidPromise())
+    fun send(channel: Channel, message: PeerMessage) = sendEncoded(channel, encode(message))
+
+    /** Sends the encoded message in [bytes] over [channel]. */
+    fun sendEncoded(channel: Channel, bytes: ByteArray) {
+        channel.writeAndFlush(Unpooled.wrappedBuffer(bytes), channel.voidPromise())
     }
 
     private fun addHandlers(channel: SocketChannel, listener: PeerListener) {
@@ -74,6 +81,10 @@
 
     private class FrameHandler(private val listener: PeerListener, private val log: DecisionLog) :
         SimpleChannelInboundHandler<ByteBuf>() {
+        override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+            if (context.channel().isWritable) listener.onWritable(context.channel())
+        }
+
         override fun channelActive(context: ChannelHandlerContext) = listener.onOpened(context.channel())
 
         override fun channelRead0(context: ChannelHandlerContext, frame: ByteBuf) = try {
@@ -105,6 +116,9 @@
     companion object {
         private const val LENGTH_BYTES = 4
 
+        /** Bytes that are on their way can't be replaced by newer ones; suffices for the fastest links. */
+        private const val SEND_BUFFER_BYTES = 131_072
+
         /** Messages that are sent in one turn of the event loop share a system call. */
         private const val MESSAGES_PER_FLUSH = 64
         private const val MAXIMUM_FRAME_BYTES = 1_048_576
@@ -112,12 +126,14 @@
         /** Allows for two round trips between failure domains and some load. */
         const val CONNECT_MILLISECONDS = 300
 
-        private fun encode(message: PeerMessage): ByteArray = ProtoBuf.encodeToByteArray(
+        /** Encodes [message]. */
+        fun encode(message: PeerMessage): ByteArray = ProtoBuf.encodeToByteArray(
             PeerMessage.serializer(),
             message
         )
 
-        private fun decode(bytes: ByteArray): PeerMessage = ProtoBuf.decodeFromByteArray(
+        /** Decodes a message; throws [SerializationException] if [bytes] are none. */
+        fun decode(bytes: ByteArray): PeerMessage = ProtoBuf.decodeFromByteArray(
             PeerMessage.serializer(),
             bytes
         )
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestFlow.kt
@@ -46,8 +46,14 @@
         get() = process.settings.retrySlack.toDouble() / maxOf(1, process.state.shared.members.size)
 }
 
-/** Routes callers' requests and tracks those in flight. */
-internal class RequestFlow(private val context: RequestContext) : RequestHandler {
+/**
+ * Routes callers' requests and tracks those in flight. While [isConfigurationBehind], an unknown route may be a new
+ * one.
+ */
+internal class RequestFlow(
+    private val context: RequestContext,
+    private val isConfigurationBehind: () -> Boolean,
+) : RequestHandler {
     private val split = TrafficSplit()
     private val runs = LinkedHashSet<RequestRun>()
     private var plannedStop: PlannedStop? = null
@@ -80,7 +86,7 @@
         val id = request.headers.get(context.names.requestId).orEmpty()
         val route = context.process.state.routes.find(host, request.target)
         when {
-            context.process.state.configuration == null ->
+            context.process.state.configuration == null || (route == null && isConfigurationBehind()) ->
                 reject(RequestError(ErrorKind.NO_CONFIGURATION, retryAfterMilliseconds = STARTUP_MILLISECONDS), turn)
             route == null -> reject(RequestError(ErrorKind.UNKNOWN_ROUTE, "$host${request.target}"), turn)
             id.isEmpty() -> reject(RequestError(ErrorKind.MALFORMED_REQUEST, "no request id"), turn)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RowSource.kt
@@ -35,6 +35,9 @@
     /** Reads the shared rows first: they list the instances that may be the reader. */
     fun start() = followers.getValue(Feed.SHARED).readOnce()
 
+    /** Whether another instance has newer configurations than this one. */
+    val isConfigurationBehind: Boolean get() = followers.getValue(Feed.OPERATOR).isBehind
+
     /** Another instance has read a row of [feed] whose [version] is newer than all rows of this one. */
     fun onNewerVersion(feed: Feed, version: Long) = followers.getValue(feed).onNewerVersion(version)
 
@@ -57,9 +60,9 @@
      * the table.
      */
     override fun onRows(feed: Feed, page: FeedPage) {
-        if (!context.state.merge(feed, page, context.clock())) return
+        val news = context.state.merge(feed, page, context.clock()) ?: return
         onChanged()
-        subscribers.publish(feed, page)
+        subscribers.publish(feed, news)
     }
 
     override fun onReaderLost(subscription: Subscription, sinceFailureMilliseconds: Long?) {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
@@ -58,7 +58,7 @@
         if (isCancelled) {
             channel.close()
         } else {
-            val known = SubscribeMessage(context.state.feedVersions())
+            val known = SubscribeMessage(context.state.feedVersions(), acceptsPacked = true)
             transport.send(channel, PeerMessage(hello = "${context.settings.instance}", subscribe = known, ping = true))
         }
     }
@@ -67,7 +67,7 @@
         lastReceivedAt = context.clock()
         isEstablished = true
         context.recordContact(member)
-        val rows = message.rows
+        val rows = message.rows ?: message.packedRows?.unpack()
         when {
             rows == null || isCancelled -> Unit
             rows.resigns -> events.onReaderLost(this, rows.sinceFailureMilliseconds)
