--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -115,6 +115,20 @@
         "ServerDirectoryTest", 1),
     "copy-makes-cold": (
         "traffic/ServerDirectory.kt", "fromCopy && resurfaced", "false && resurfaced", "ServerDirectoryTest", 1),
+    "removed-lease-not-believed": (
+        "ownership/LeaseRow.kt", "tableVersion < this.tableVersion", "version < this.version", "CoordinatorLeaseTest", 1),
+    "refused-grant-not-held": (
+        "ownership/HoldTable.kt", "val mayHold = result != OrderResult.NOT_SENT",
+        "val mayHold = result == OrderResult.ACCEPTED || result == OrderResult.UNANSWERED", "GrantResultTest", 1),
+    "contact-with-any-ends-loss": (
+        "placement/InstanceReachability.kt", "return losses.remove(instance) != null",
+        "return losses.values.removeAll { it.domain == domain }", "InstanceReachabilityTest", 1),
+    "answered-challenge-removes": (
+        "placement/MembershipSweep.kt", "!suspect.isChallenged -> SweepStep.Challenge(suspect).takeUnless { hasAnswered }",
+        "!suspect.isChallenged -> SweepStep.Challenge(suspect)", "MembershipSweepTest", 1),
+    "stop-admits-all": (
+        "dispatch/PlannedStop.kt", "now < leftRotationAt || deadlineAt <= lastDeadlineAt", "now < endsAt",
+        "PlannedStopAdmissionTest", 1),
 }
 
 
--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
@@ -51,6 +51,15 @@
 
     fun EmbeddedChannel.receive(text: String) = writeInbound(Unpooled.copiedBuffer(text, Charsets.UTF_8))
 
+    /** The lengths after which [response] may be cut off without being reported as broken. */
+    fun lengthsRelayed(response: String): List<Int> = response.indices.filter { length ->
+        val channel = EmbeddedChannel(HttpClientCodec())
+        val recorder = channel.exchange("a")
+        channel.receive(response.take(length))
+        channel.close()
+        recorder.ends.singleOrNull()?.startsWith("broken") != true
+    }
+
     val head = "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n"
     val framings = mapOf(
         "a length" to "${head}Content-Length: 5\r\n\r\nhello",
@@ -61,14 +70,7 @@
     // Guards against a response that breaks off in its head and is relayed as a whole one with an empty body.
     framings.forEach { (what, response) ->
         test("a response with $what that is cut off at any byte is broken") {
-            val relayed = response.indices.filter { length ->
-                val channel = EmbeddedChannel(HttpClientCodec())
-                val recorder = channel.exchange("a")
-                channel.receive(response.take(length))
-                channel.close()
-                recorder.ends.singleOrNull()?.startsWith("broken") != true
-            }
-            relayed.shouldBeEmpty()
+            lengthsRelayed(response).shouldBeEmpty()
         }
 
         test("a whole response with $what is relayed") {
@@ -82,14 +84,7 @@
 
     test("a response without a length that is cut off in its head is broken") {
         val response = "$head\r\n"
-        val relayed = response.indices.filter { length ->
-            val channel = EmbeddedChannel(HttpClientCodec())
-            val recorder = channel.exchange("a")
-            channel.receive(response.take(length))
-            channel.close()
-            recorder.ends.singleOrNull()?.startsWith("broken") != true
-        }
-        relayed.shouldBeEmpty()
+        lengthsRelayed(response).shouldBeEmpty()
     }
 
     data class IdCase(val what: String, val isReused: Boolean, val idLine: String, val end: String?)
