Count a lost instance as reachable only once it knows the servers

Cause: since lost instances are avoided until they respond, one that restarts answers its first probe within some 60 ms, before it has read the servers' rows, and refuses the slot request that follows (log: started 42.768, reachable 42.845, asked 42.859, rows read 42.871). Ruled out: the limit, and load itself.

Messages between instances carry the versions of what the sender has read; one without servers' rows no longer ends a loss. EndedInstancesTest, "a lost instance that is back gets no requests until it knows the servers", failed on (503 in place of 200) and passes now; ServerLimitTest and StartupCallsTest pass.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerHub.kt
@@ -115,7 +115,7 @@
 
     override fun onMessage(link: PeerLink, versions: FeedVersions?) {
         probes.onResponse(link.member)
-        context.recordContact(link.member)
+        context.recordContact(link.member, versions)
         versions?.let(events::onFeedVersions)
     }
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
@@ -55,8 +55,12 @@
         if (isNew) logReachability(member, if (silent) "silent" else "unreachable")
     }
 
-    /** A message from [member] arrived. */
-    fun recordContact(member: Member) {
+    /**
+     * A message from [member] arrived, with its feed [versions] if it contained any. One that has just started and does
+     * not know the servers yet can perform no duty, so it counts as reachable only once it does.
+     */
+    fun recordContact(member: Member, versions: FeedVersions?) {
+        if (versions?.servers == 0L) return
         val wasAvoided = reachability.recordContact(member.instance, member.domain, clock())
         if (wasAvoided) logReachability(member, "reachable")
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/Subscription.kt
@@ -66,7 +66,7 @@
     override fun onReceived(message: PeerMessage) {
         lastReceivedAt = context.clock()
         isEstablished = true
-        context.recordContact(member)
+        context.recordContact(member, message.news)
         val rows = message.rows ?: message.packedRows?.unpack()
         when {
             rows == null || isCancelled -> Unit
