Tie the bytes of a server's connection to the request in flight there

Callers got bodies with another response in them, and lost three of four responses while servers repeated some of theirs.

Cause: what belonged to a request was decided in four places by four kinds of evidence (first id, order on a new connection, framing, the connections that an attempt had used), and a connection that had shown to be out of step was used again. The class: data told apart by position alone.

ConnectionRecord is now the only judge of what a connection has carried: a response belongs to the request in flight if it names that request and no other; two requests with one id share no connection; whatever else arrives puts the connection out of order for good. The decoder lives as long as the exchange, so what it holds at the end is seen. ResponseAssembly searches bodies for heads of other responses, and a response is relayed once nothing more is to be read. ConnectionReuse gives a server that repeats responses one connection for each request for a while, so that repeats meet nobody and cost no attempt; a wrong response no longer counts as an unreachable server, whose pool refuses everything meanwhile.

ServerExchangeTest: its pipeline is made by the exchange; no case was changed.

--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/UnsolicitedBytesHandler.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/UnsolicitedBytesHandler.kt
@@ -9,11 +9,18 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.util.ReferenceCountUtil
 
-/** Closes a connection that fails or receives bytes while its pipeline has no handler of type [exchangeHandler]. */
-class UnsolicitedBytesHandler(private val exchangeHandler: Class<out ChannelHandler>) : ChannelInboundHandlerAdapter() {
+/**
+ * Closes a connection that fails or receives bytes while its pipeline has no handler of type [exchangeHandler]; calls
+ * [onBytes] for such bytes.
+ */
+class UnsolicitedBytesHandler(
+    private val exchangeHandler: Class<out ChannelHandler>,
+    private val onBytes: () -> Unit = {},
+) : ChannelInboundHandlerAdapter() {
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         if (message is ByteBuf && context.pipeline().get(exchangeHandler) == null) {
             ReferenceCountUtil.release(message)
+            onBytes()
             context.close()
         } else {
             context.fireChannelRead(message)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryDaemon.kt
@@ -51,7 +51,7 @@
     private val hub = PeerHub(context, pools, transport, events)
     private val memberRow = MemberRow(context, platform.table)
     private val sweep = MemberSweep(context, hub.probes, platform.table)
-    private val links = ServerConnections(group, context::clock)
+    private val links = ServerConnections(group, context::clock, context::onDisorder)
     private val load = LoadCounter(state)
     private val requests = RequestContext(context, platform.headers, hub, links, load)
     private val flow = RequestFlow(requests) { source.isConfigurationBehind }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryMetrics.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/EntryMetrics.kt
@@ -10,6 +10,11 @@
     private val answers = metrics.counter("rhubarbspool_answers", "Answers to callers", "service", "status")
     private val refusals = metrics.counter("rhubarbspool_refusals", "Answers that the router made up itself", "reason")
     private val calls = metrics.counter("rhubarbspool_calls", "Calls to backend servers by their end", "outcome")
+    private val disorders = metrics.counter(
+        "rhubarbspool_disordered_connections",
+        "Connections that delivered anything but the response to their request",
+        "disorder"
+    )
     private val seconds = metrics.histogram("rhubarbspool_answer_seconds", "Time from request to answer", "service")
     private val tableFailures = metrics.counter(
         "rhubarbspool_table_failures",
@@ -26,6 +31,8 @@
 
     fun recordCall(outcome: String) = calls.labelValues(outcome).inc()
 
+    fun recordDisorder(disorder: String) = disorders.labelValues(disorder).inc()
+
     fun recordTableFailure(feed: String) = tableFailures.labelValues(feed).inc()
 
     private companion object {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ProcessContext.kt
@@ -4,6 +4,8 @@
 package rhubarbspool.entry
 
 import io.netty.channel.EventLoop
+import rhubarbspool.dispatch.Disorder
+import rhubarbspool.model.Address
 import rhubarbspool.model.Now
 import rhubarbspool.placement.InstanceReachability
 
@@ -65,6 +67,13 @@
         if (wasAvoided) logReachability(member, "reachable")
     }
 
+    /** A connection to the server at [address] was out of order; see [DisorderListener]. */
+    fun onDisorder(address: Address, disorder: Disorder, milliseconds: Long?) {
+        metrics.recordDisorder(disorder.name)
+        if (milliseconds == null) return
+        log.belief("connections", "server" to address, "disorder" to disorder, "notReusedFor" to milliseconds)
+    }
+
     private fun logReachability(member: Member, state: String) = log.belief(
         "instance",
         "instance" to member.instance,
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestState.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestState.kt
@@ -3,7 +3,6 @@
  */
 package rhubarbspool.entry
 
-import io.netty.channel.ChannelId
 import io.netty.handler.codec.http.HttpHeaders
 import rhubarbspool.dispatch.Attempt
 import rhubarbspool.dispatch.AttemptState
@@ -54,12 +53,6 @@
     /** Servers that the request was sent to, or could not be sent to. */
     val triedServers = LinkedHashSet<ServerName>()
 
-    /**
-     * Connections that carried an attempt. Attempts share the id that tells responses apart, so no two of them share a
-     * connection.
-     */
-    val usedConnections = HashSet<ChannelId>()
-
     /** Times that the request was refused without being run, or could not be sent. */
     var refusals = 0
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerCall.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerCall.kt
@@ -4,7 +4,6 @@
 package rhubarbspool.entry
 
 import io.netty.buffer.ByteBuf
-import io.netty.channel.Channel
 import rhubarbspool.dispatch.Attempt
 import rhubarbspool.dispatch.CallOutcome
 import rhubarbspool.errors.ErrorKind
@@ -44,7 +43,7 @@
     fun start() {
         val maximumIdle =
             if (state.repeatable) ServerConnections.NO_IDLE_LIMIT else ServerConnections.ONCE_ONLY_IDLE_MILLISECONDS
-        context.connections.acquire(entry.address, maximumIdle, state.usedConnections, ::onConnection)
+        context.connections.acquire(entry.address, maximumIdle, state.id, ::onConnection)
     }
 
     /** Cancels the call with [outcome]; the server drops the request. */
@@ -120,7 +119,9 @@
 
     override fun onBroken(cause: BreakCause, streaming: Boolean) {
         if (permit.isCompleted) return
-        permit.complete(CallOutcome.BROKEN, context.process.clock() - sentAt)
+        // A server that sends a wrong response is at work, so it is not avoided like one that can't be reached.
+        val outcome = if (cause.isWrongResponse) CallOutcome.FAULTY else CallOutcome.BROKEN
+        permit.complete(outcome, context.process.clock() - sentAt)
         context.process.log.request(
             state.id,
             "broken",
@@ -129,27 +130,27 @@
         if (streaming) end.abortStream(entry.server, cause) else listener.onCallFailed(CallOutcome.BROKEN)
     }
 
-    private fun onConnection(channel: Channel?) {
+    private fun onConnection(connection: ServerConnection?) {
         val isObsolete = permit.isCompleted || end.isCompleted
         // The deadline may pass while the connection is established, and its timer may not have run yet.
         val isLate = !isObsolete && state.deadlineAt <= context.process.clock()
-        val begun = if (isObsolete || isLate || channel == null) null else state.executions.begin()
+        val begun = if (isObsolete || isLate || connection == null) null else state.executions.begin()
         when {
-            channel != null && begun != null -> send(channel, begun)
-            channel == null && !isObsolete -> {
+            connection != null && begun != null -> send(connection, begun)
+            connection == null && !isObsolete -> {
                 state.refusals++
                 state.triedServers += entry.server
                 permit.complete(CallOutcome.UNREACHABLE, 0)
                 listener.onCallFailed(CallOutcome.UNREACHABLE)
             }
             else -> {
-                channel?.close()
+                connection?.close()
                 if (isLate) onDeadline() else cancel(CallOutcome.CANCELLED)
             }
         }
     }
 
-    private fun send(channel: Channel, begun: Attempt) {
+    private fun send(connection: ServerConnection, begun: Attempt) {
         sentAt = context.process.clock()
         attempt = begun
         state.triedServers += entry.server
@@ -166,11 +167,8 @@
                 "key" to state.key,
             ),
         )
-        state.usedConnections += channel.id()
         val outgoing = ServerRequests.of(state.callerRequest, entry, context.names, remaining)
-        val started = ServerExchange(channel, outgoing, state.id, context.names, this) { idle, keepAlive ->
-            context.connections.release(entry.address, idle, keepAlive)
-        }
+        val started = ServerExchange(connection, outgoing, state.id, context.names, this)
         exchange = started
         started.start()
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerConnections.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerConnections.kt
@@ -1,30 +1,44 @@
 /*
  * Pool of HTTP connections to backend servers. A connection carries one request at a time. Idle connections are kept
- * for less than the server's own limit. A connection that receives bytes while it is idle is closed, because they
- * belong to no request. Open connections may go silent for good, often several together: when one that was reused has
- * delivered nothing for long, those that gave no sign of life since are not used again.
+ * for less than the server's own limit. A connection that delivers anything but the response to its request is closed,
+ * and connections to its server are not reused for a while. Open connections may go silent for good, often several
+ * together: when one that was reused has delivered nothing for long, those that gave no sign of life since are not used
+ * again.
  */
 package rhubarbspool.entry
 
 import io.netty.bootstrap.Bootstrap
-import io.netty.channel.Channel
-import io.netty.channel.ChannelId
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import rhubarbspool.dispatch.ConnectionReuse
+import rhubarbspool.dispatch.Disorder
 import rhubarbspool.edge.UnsolicitedBytesHandler
 import rhubarbspool.model.Address
 import java.util.ArrayDeque
 
+/** Is told about connections that are out of order. */
+internal fun interface DisorderListener {
+    /**
+     * A connection to [address] was out of order by [disorder]; connections to it are not reused for [milliseconds], or
+     * were not reused before if that is null.
+     */
+    fun onDisorder(address: Address, disorder: Disorder, milliseconds: Long?)
+}
+
 /** Opens, reuses and closes connections; used on the event loop only. */
-internal class ServerConnections(private val group: EventLoopGroup, private val clock: () -> Long) {
-    private class IdleConnection(val channel: Channel, val idleSince: Long, val maximumIdleTime: Long) {
-        fun isStale(now: Long): Boolean = now - idleSince > maximumIdleTime || !channel.isActive
+internal class ServerConnections(
+    private val group: EventLoopGroup,
+    private val clock: () -> Long,
+    private val listener: DisorderListener,
+) : ConnectionKeeper {
+    private class IdleConnection(val connection: ServerConnection, val idleSince: Long, val maximumIdleTime: Long) {
+        fun isStale(now: Long): Boolean = now - idleSince > maximumIdleTime || !connection.channel.isActive
     }
 
+    private val reuse = ConnectionReuse()
     private val idle = HashMap<Address, ArrayDeque<IdleConnection>>()
 
     /** Number of connections opened so far. */
@@ -32,27 +46,36 @@
         private set
 
     /**
-     * Passes a connection to [onConnection], or null if none can be opened; a reused one has been idle for at most
-     * [maximumIdle] milliseconds and is none of [excluded].
+     * Passes a connection for the request with [id] to [onConnection], or null if none can be opened; a reused one has
+     * been idle for at most [maximumIdle] milliseconds.
      */
-    fun acquire(address: Address, maximumIdle: Long, excluded: Set<ChannelId>, onConnection: (Channel?) -> Unit) {
-        val reused = pollIdle(address, maximumIdle, excluded)
+    fun acquire(address: Address, maximumIdle: Long, id: String, onConnection: (ServerConnection?) -> Unit) {
+        val reused = pollIdle(address, maximumIdle, id)
         if (reused != null) onConnection(reused) else connect(address, onConnection)
     }
 
-    /** Returns a connection to the pool; the server keeps it open for [keepAlive] milliseconds. */
-    fun release(address: Address, channel: Channel, keepAlive: Long) {
-        if (!channel.isActive) return
-        channel.config().isAutoRead = true
-        idle.getOrPut(address) { ArrayDeque() }
-            .addFirst(IdleConnection(channel, clock(), keepAlive * KEEP_ALIVE_PERCENT / PERCENT))
+    override fun release(connection: ServerConnection, keepAlive: Long) {
+        val now = clock()
+        val isReusable = connection.record.disorder == null && reuse.isAllowed(connection.address, now)
+        if (!isReusable || !connection.channel.isActive) return connection.close()
+        connection.channel.config().isAutoRead = true
+        idle.getOrPut(connection.address) { ArrayDeque() }
+            .addFirst(IdleConnection(connection, now, keepAlive * KEEP_ALIVE_PERCENT / PERCENT))
+    }
+
+    override fun onDisorder(connection: ServerConnection, disorder: Disorder) {
+        val milliseconds = reuse.onDisorder(connection.address, clock())
+        listener.onDisorder(connection.address, disorder, milliseconds)
+        idle.remove(connection.address)?.forEach { it.connection.channel.close() }
     }
 
     /** Closes connections that have been idle for too long. */
     fun closeIdle() {
         val now = clock()
         idle.values.forEach { connections ->
-            while (connections.isNotEmpty() && connections.last().isStale(now)) connections.removeLast().channel.close()
+            while (connections.isNotEmpty() && connections.last().isStale(now)) {
+                connections.removeLast().connection.close()
+            }
         }
         idle.values.removeAll { it.isEmpty() }
     }
@@ -65,39 +88,45 @@
         val connections = idle[address]?.takeIf { now - sentAt >= SILENCE_MILLISECONDS } ?: return
         val silent = connections.filter { it.idleSince <= sentAt }
         connections.removeAll(silent.toSet())
-        silent.forEach { it.channel.close() }
+        silent.forEach { it.connection.close() }
     }
 
-    private fun pollIdle(address: Address, maximumIdle: Long, excluded: Set<ChannelId>): Channel? {
+    private fun pollIdle(address: Address, maximumIdle: Long, id: String): ServerConnection? {
         val now = clock()
         val connections = idle[address] ?: return null
         val (usable, stale) = connections.partition {
             val isFresh = now - it.idleSince <= minOf(it.maximumIdleTime, maximumIdle)
-            it.channel.isActive && isFresh
+            it.connection.channel.isActive && isFresh
         }
         connections.removeAll(stale)
-        stale.forEach { it.channel.close() }
-        val found = usable.firstOrNull { it.channel.id() !in excluded }
+        stale.forEach { it.connection.close() }
+        val found = usable.firstOrNull { it.connection.record.mayCarry(id) }
         connections.remove(found)
-        return found?.channel
+        return found?.connection
     }
 
-    private fun connect(address: Address, onConnection: (Channel?) -> Unit) {
+    private fun connect(address: Address, onConnection: (ServerConnection?) -> Unit) {
         openedCount++
         val future = Bootstrap().group(group).channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(UnsolicitedBytesHandler(ServerExchange::class.java), codec())
+                    val connection = ServerConnection(channel, address, this@ServerConnections)
+                    channel.attr(ServerConnection.KEY).set(connection)
+                    val handler = UnsolicitedBytesHandler(ServerExchange::class.java) {
+                        connection.record.onDisorder(Disorder.UNSOLICITED_BYTES)
+                        connection.close()
+                    }
+                    channel.pipeline().addLast(handler)
                 }
             })
             .connect(address.host, address.port)
-        future.addListener { onConnection(if (it.isSuccess) future.channel() else null) }
+        future.addListener {
+            onConnection(if (it.isSuccess) future.channel().attr(ServerConnection.KEY).get() else null)
+        }
     }
 
-    private fun codec() = HttpClientCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES)
-
     companion object {
         /** Idle limit for repeatable requests: only the server's own limit applies. */
         const val NO_IDLE_LIMIT: Long = Long.MAX_VALUE
@@ -114,8 +143,5 @@
 
         /** Covers two round trips between failure domains, but not the retransmission of a lost packet. */
         private const val CONNECT_TIMEOUT_MILLISECONDS = 350
-        private const val MAXIMUM_LINE_BYTES = 8_192
-        private const val MAXIMUM_HEADER_BYTES = 32_768
-        private const val MAXIMUM_CHUNK_BYTES = 16_384
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
@@ -1,25 +1,29 @@
 /*
  * One request to a backend server over one connection. Small responses are buffered until they are complete, so that a
- * request whose response breaks off can be retried; large ones are streamed. A response that carries another request's
- * id belongs to that request and is discarded. One that carries none may be a late copy of an earlier response if the
- * connection was used before, so it says nothing about this request.
+ * request whose response breaks off can be retried; large ones are streamed, but for their last part. A response is
+ * relayed once the connection has nothing more to read, because what follows may show that it was not whole. The
+ * decoder lives as long as the exchange: whatever it still holds at the end belongs to no request.
  */
 package rhubarbspool.entry
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.LastHttpContent
-import io.netty.util.AttributeKey
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpObject
 import io.netty.util.ReferenceCountUtil
+import rhubarbspool.dispatch.Disorder
+import java.util.concurrent.TimeUnit
 
 /** Why an exchange ended without a complete response. */
-internal enum class BreakCause { CLOSED, NOT_HTTP, WRONG_ANSWER, GIVEN_UP }
+internal enum class BreakCause(val isWrongResponse: Boolean) {
+    CLOSED(false),
+    NOT_HTTP(true),
+    WRONG_ANSWER(true),
+    GIVEN_UP(false),
+}
 
 /** Receives the events of one exchange; exactly one of [onAnswer], [onStreamEnded] and [onBroken] ends it. */
 internal interface ExchangeListener {
@@ -39,32 +43,31 @@
     fun onBroken(cause: BreakCause, streaming: Boolean)
 }
 
-/**
- * Sends [request], which has [id], over [channel], which no other request with that id may have used; [release] returns
- * the connection if it can be reused.
- */
+/** Sends [request], which has [id], over [connection]. */
 internal class ServerExchange(
-    private val channel: Channel,
+    private val connection: ServerConnection,
     private val request: FullHttpRequest,
     private val id: String,
     private val names: HeaderNames,
     private val listener: ExchangeListener,
-    private val release: (Channel, Long) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
-    private val isReused = channel.hasAttr(USED)
+    private val channel: Channel = connection.channel
+    private val record = connection.record
+    private val isReused = record.requestCount > 0
+    private val codec = HttpClientCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES)
+    private val response = ResponseAssembly(record, names)
     private var hasReceived = false
-    private var head: ServerHead? = null
-    private var isSkipping = false
     private var isStreaming = false
     private var connectionFailed = false
     private var isRequestWritten = false
+    private var isSettling = false
+    private var isCompleting = false
     private var hasEnded = false
-    private val buffered = Unpooled.compositeBuffer(MAXIMUM_BUFFERED_PARTS)
 
     /** Sends the request. */
     fun start() {
-        channel.attr(USED).set(true)
-        channel.pipeline().addLast(this)
+        record.begin(id)
+        channel.pipeline().addLast(codec, this)
         channel.writeAndFlush(request).addListener {
             isRequestWritten = true
             if (!it.isSuccess) abort(BreakCause.CLOSED) else if (hasEnded) releaseChannel()
@@ -75,8 +78,9 @@
     fun abort(cause: BreakCause = BreakCause.GIVEN_UP) {
         if (hasEnded) return
         hasEnded = true
-        buffered.release()
-        channel.close()
+        response.release()
+        if (cause == BreakCause.NOT_HTTP) record.onDisorder(Disorder.NOT_HTTP)
+        connection.close()
         listener.onBroken(cause, isStreaming)
     }
 
@@ -93,67 +97,66 @@
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         hasReceived = true
         try {
-            if (hasEnded) context.close()
-            if (!hasEnded && message is HttpResponse) onHead(message)
-            if (!hasEnded && message is HttpContent) onContent(message)
+            when {
+                hasEnded || response.isComplete -> onSurplus()
+                message is HttpObject -> response.add(message)?.let(::abort) ?: streamIfLarge()
+            }
         } finally {
             ReferenceCountUtil.release(message)
         }
     }
 
-    override fun channelInactive(context: ChannelHandlerContext) = abort(BreakCause.CLOSED)
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (!response.isComplete || hasEnded) return
+        if (!response.isDoubtful) {
+            complete()
+        } else if (!isSettling) {
+            isSettling = true
+            channel.eventLoop().schedule(::complete, SETTLE_MILLISECONDS, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) =
+        if (response.isComplete) complete() else abort(BreakCause.CLOSED)
 
     @Deprecated("Overrides a deprecated method of Netty")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         connectionFailed = true
-        abort(BreakCause.CLOSED)
+        if (!response.isComplete) abort(BreakCause.CLOSED)
     }
 
-    private fun onHead(response: HttpResponse) {
-        val responseHead = ServerHead.of(response)
-        val echoedId = ServerHead.echoedId(response, names)
-        isSkipping = ServerHead.isInterim(response) || (echoedId != null && echoedId != id)
-        when {
-            response.decoderResult().isFailure -> abort(BreakCause.NOT_HTTP)
-            isSkipping -> Unit
-            echoedId == null && isReused -> abort(BreakCause.WRONG_ANSWER)
-            responseHead.isAcceptable(names) -> head = responseHead
-            else -> abort(BreakCause.WRONG_ANSWER)
-        }
-    }
-
-    private fun onContent(content: HttpContent) {
-        val current = head
-        when {
-            content.decoderResult().isFailure -> abort(BreakCause.NOT_HTTP)
-            current != null && !isSkipping -> {
-                if (content.content().isReadable) appendBody(current, content.content().retain())
-                if (content is LastHttpContent) completeAnswer(current)
-            }
-        }
+    /** Something arrived behind the response. */
+    private fun onSurplus() {
+        record.onDisorder(Disorder.SURPLUS_BYTES)
+        if (hasEnded) connection.close()
     }
 
-    private fun appendBody(head: ServerHead, bytes: ByteBuf) {
-        if (isStreaming) return listener.onStreamBytes(bytes)
-        buffered.addComponent(true, bytes)
-        if (buffered.readableBytes() > MAXIMUM_BUFFERED_BYTES) {
+    /** Streams what has arrived of a large response, except for its end: the response may turn out not to be whole. */
+    private fun streamIfLarge() {
+        val head = response.head
+        if (head == null || response.isComplete) return
+        if (!isStreaming && response.bufferedBytes > MAXIMUM_BUFFERED_BYTES) {
             isStreaming = true
             listener.onStreamStarted(head)
-            if (hasEnded) return
-            listener.onStreamBytes(buffered.copy())
-            buffered.clear()
         }
+        if (isStreaming && !hasEnded && response.bufferedBytes > 0) listener.onStreamBytes(response.takeBody())
     }
 
-    /** A body that is delimited by the end of its connection is complete unless the connection failed. */
-    private fun completeAnswer(head: ServerHead) {
-        if (connectionFailed || hasEnded) return abort(BreakCause.CLOSED)
+    /** Ends the exchange with the response that has arrived. */
+    private fun complete() {
+        val head = response.head
+        if (hasEnded || isCompleting || head == null) return
+        isCompleting = true
+        // What the decoder holds is passed on as it is removed.
+        if (channel.pipeline().context(codec) != null) channel.pipeline().remove(codec)
+        val flaw = response.flaw(connectionFailed)
+        if (flaw != null) return abort(flaw)
         hasEnded = true
-        val body = buffered.copy()
-        buffered.release()
+        val body = response.takeBody()
+        response.release()
         if (isRequestWritten) releaseChannel()
         if (isStreaming) {
-            body.release()
+            if (body.isReadable) listener.onStreamBytes(body) else body.release()
             listener.onStreamEnded()
         } else {
             listener.onAnswer(head, body)
@@ -161,21 +164,23 @@
     }
 
     private fun releaseChannel() {
-        val reusableHead = head?.takeIf { it.reusable && channel.isActive }
+        val reusableHead = response.head?.takeIf { it.reusable }
         if (reusableHead == null) {
-            channel.close()
+            connection.close()
         } else {
-            channel.pipeline().remove(this)
-            release(channel, reusableHead.keepAliveMilliseconds)
+            if (channel.pipeline().context(this) != null) channel.pipeline().remove(this)
+            connection.release(reusableHead.keepAliveMilliseconds)
         }
     }
 
     private companion object {
         /** Responses up to this size are buffered until they are complete; larger ones are streamed. */
         const val MAXIMUM_BUFFERED_BYTES = 131_072
-        const val MAXIMUM_BUFFERED_PARTS = 4_096
+        const val MAXIMUM_LINE_BYTES = 8_192
+        const val MAXIMUM_HEADER_BYTES = 32_768
+        const val MAXIMUM_CHUNK_BYTES = 16_384
 
-        /** Set on a connection that has carried a request. */
-        val USED: AttributeKey<Boolean> = AttributeKey.valueOf("rhubarbspool.used")
+        /** Time in which the rest of a response arrives behind another one that was written into its body. */
+        const val SETTLE_MILLISECONDS = 20L
     }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerHead.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerHead.kt
@@ -11,8 +11,18 @@
 import rhubarbspool.dispatch.CallOutcome
 import rhubarbspool.errors.PromiseStatuses
 
-/** The head of a response; [reusable] if its connection can carry another request afterwards. */
-internal class ServerHead(val status: Int, val headers: HttpHeaders, val reusable: Boolean) {
+/**
+ * The head of a response.
+ *
+ * @property isFramed whether the head says where the response ends.
+ * @property reusable whether its connection can carry another request afterwards.
+ */
+internal class ServerHead(
+    val status: Int,
+    val headers: HttpHeaders,
+    val isFramed: Boolean,
+    val reusable: Boolean,
+) {
     /** Milliseconds for which the server keeps an idle connection open. */
     val keepAliveMilliseconds: Long
         get() {
@@ -80,15 +90,12 @@
         /** The head of [response]. */
         fun of(response: HttpResponse): ServerHead {
             val status = response.status().code()
-            val isFramed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
-            val reusable = HttpUtil.isKeepAlive(response) && (isFramed || status in BODILESS_STATUSES)
-            return ServerHead(status, response.headers(), reusable)
+            val hasLength = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
+            val isFramed = hasLength || status in BODILESS_STATUSES
+            return ServerHead(status, response.headers(), isFramed, HttpUtil.isKeepAlive(response) && isFramed)
         }
 
         /** Whether [response] is an interim response. */
         fun isInterim(response: HttpResponse): Boolean = response.status().code() < FIRST_FINAL_STATUS
-
-        /** The id of the request that [response] says it belongs to, if any. */
-        fun echoedId(response: HttpResponse, names: HeaderNames): String? = response.headers().get(names.requestId)
     }
 }
--- /dev/null
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
@@ -0,0 +1,61 @@
+/*
+ * Searches the body of a response for the head of another one, which a server may write into it. A body that has no
+ * length, or whose length ends early, would be taken for a whole one otherwise.
+ */
+package rhubarbspool.entry
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpResponse
+
+/** Searches a body part by part; [isRepeat] says whether the text from a status line on is a repeated response. */
+internal class StatusLineScanner(private val isRepeat: (String) -> Boolean) {
+    private var tail = ByteArray(0)
+
+    /** Whether the body has contained a status line. */
+    var hasStatusLine = false
+        private set
+
+    /** Whether the body has contained a repeated response. */
+    var hasRepeat = false
+        private set
+
+    /** Searches [part], which follows the earlier parts; its indexes are not changed. */
+    fun scan(part: ByteBuf) {
+        val bytes = tail.copyOf(tail.size + part.readableBytes())
+        part.getBytes(part.readerIndex(), bytes, tail.size, part.readableBytes())
+        for (index in 0..bytes.size - STATUS_LINE_BYTES) {
+            if (bytes[index] == FIRST_BYTE && isStatusLine(bytes, index)) onStatusLine(bytes, index)
+        }
+        tail = bytes.copyOfRange(maxOf(0, bytes.size - HEAD_BYTES), bytes.size)
+    }
+
+    private fun onStatusLine(bytes: ByteArray, index: Int) {
+        hasStatusLine = true
+        val length = minOf(HEAD_BYTES, bytes.size - index)
+        hasRepeat = hasRepeat || isRepeat(String(bytes, index, length, Charsets.ISO_8859_1))
+    }
+
+    companion object {
+        private const val VERSION = "HTTP/1."
+        private const val FIRST_BYTE = 'H'.code.toByte()
+
+        /** Bytes of `HTTP/1.1 200`. */
+        private const val STATUS_LINE_BYTES = 12
+        private const val STATUS_AT = 9
+
+        /** Bytes of a head in which the names of its request and its signature are searched. */
+        private const val HEAD_BYTES = 1_024
+        private val STATUS_LINE = Regex("HTTP/1[.][01] [0-9]{3}")
+
+        /** Whether the reason phrase or the value of a header of [response] contains a status line. */
+        fun isStatusLineIn(response: HttpResponse): Boolean =
+            isStatusLineIn(response.status().reasonPhrase()) || response.headers().any { isStatusLineIn(it.value) }
+
+        private fun isStatusLineIn(text: String) = VERSION in text && STATUS_LINE.containsMatchIn(text)
+
+        private fun isStatusLine(bytes: ByteArray, index: Int): Boolean =
+            VERSION.indices.all { bytes[index + it] == VERSION[it].code.toByte() } &&
+                bytes[index + STATUS_AT - 1] == ' '.code.toByte() &&
+                (STATUS_AT until STATUS_LINE_BYTES).all { bytes[index + it] in '0'.code..'9'.code }
+    }
+}
--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/LateConnectionTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/LateConnectionTest.kt
@@ -58,8 +58,8 @@
     private val hub = PeerHub(context, PoolService(context), PeerTransport(group, log), events)
     private val names =
         HeaderNames("Id", "Timeout", "Target", "Signature", "Not-Run", "Load", "Limit", "Leaving", "Key")
-    private val requests =
-        RequestContext(context, names, hub, ServerConnections(group, context::clock), LoadCounter(state))
+    private val connections = ServerConnections(group, context::clock, context::onDisorder)
+    private val requests = RequestContext(context, names, hub, connections, LoadCounter(state))
     private val caller = EmbeddedChannel()
     private val turn = CallerTurn(caller, keepAlive = true, { false }) {}.also { it.activate() }
 
--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
@@ -11,9 +11,11 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
+import rhubarbspool.dispatch.Disorder
+import rhubarbspool.model.Address
+import java.util.concurrent.TimeUnit
 
 private val NAMES = HeaderNames("Id", "Timeout", "Target", "Signature", "Not-Run", "Load", "Limit", "Leaving", "Key")
 
@@ -42,21 +44,30 @@
 }
 
 class ServerExchangeTest : FunSpec({
-    fun EmbeddedChannel.exchange(id: String): EndRecorder {
+    val keeper = object : ConnectionKeeper {
+        override fun release(connection: ServerConnection, keepAlive: Long) = Unit
+
+        override fun onDisorder(connection: ServerConnection, disorder: Disorder) = Unit
+    }
+
+    fun connection() = ServerConnection(EmbeddedChannel(), Address("127.0.0.1", 1), keeper)
+
+    fun ServerConnection.exchange(id: String, method: HttpMethod = HttpMethod.GET): EndRecorder {
         val recorder = EndRecorder()
-        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x")
-        ServerExchange(this, request, id, NAMES, recorder) { _, _ -> }.start()
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/x")
+        ServerExchange(this, request, id, NAMES, recorder).start()
         return recorder
     }
 
-    fun EmbeddedChannel.receive(text: String) = writeInbound(Unpooled.copiedBuffer(text, Charsets.UTF_8))
+    fun ServerConnection.receive(text: String) =
+        (channel as EmbeddedChannel).writeInbound(Unpooled.copiedBuffer(text, Charsets.UTF_8))
 
     /** The lengths after which [response] may be cut off without being reported as broken. */
     fun lengthsRelayed(response: String): List<Int> = response.indices.filter { length ->
-        val channel = EmbeddedChannel(HttpClientCodec())
-        val recorder = channel.exchange("a")
-        channel.receive(response.take(length))
-        channel.close()
+        val connection = connection()
+        val recorder = connection.exchange("a")
+        connection.receive(response.take(length))
+        connection.channel.close()
         recorder.ends.singleOrNull()?.startsWith("broken") != true
     }
 
@@ -74,10 +85,10 @@
         }
 
         test("a whole response with $what is relayed") {
-            val channel = EmbeddedChannel(HttpClientCodec())
-            val recorder = channel.exchange("a")
-            channel.receive(response)
-            channel.close()
+            val connection = connection()
+            val recorder = connection.exchange("a")
+            connection.receive(response)
+            connection.channel.close()
             recorder.ends shouldBe listOf("answer 200 hello")
         }
     }
@@ -98,14 +109,143 @@
         IdCase("no id on a reused connection", isReused = true, "", "broken WRONG_ANSWER"),
     ).forEach { case ->
         test("a refusal with ${case.what}") {
-            val channel = EmbeddedChannel(HttpClientCodec())
+            val connection = connection()
+            if (case.isReused) {
+                connection.exchange("a")
+                connection.receive(framings.getValue("a length"))
+            }
+            val recorder = connection.exchange("b")
+            val statement = "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            connection.receive("HTTP/1.1 503 Service Unavailable\r\n${case.idLine}$statement")
+            recorder.ends shouldBe listOfNotNull(case.end)
+        }
+    }
+
+    data class RepeatCase(
+        val what: String,
+        val received: List<String>,
+        val end: String?,
+        val disorder: Disorder?,
+        val isReused: Boolean = true,
+        val method: HttpMethod = HttpMethod.GET,
+    )
+
+    val own = "HTTP/1.1 200 OK\r\nId: b\r\nSignature: t\r\n"
+    val whole = "${own}Content-Length: 4\r\n\r\nbody"
+    val earlier = framings.getValue("a length")
+    val mixed = "broken WRONG_ANSWER"
+
+    // Guards against bytes of a repeated response that become a part of another one, or that stay on its connection.
+    listOf(
+        RepeatCase("alone", listOf(whole), "answer 200 body", null),
+        RepeatCase("behind an earlier one", listOf(earlier + whole), "answer 200 body", Disorder.RESPONSE_TO_ANOTHER),
+        RepeatCase("behind one without a length", listOf("$head\r\nhello$whole"), mixed, Disorder.RESPONSE_TO_ANOTHER),
+        RepeatCase("ahead of its copy", listOf(whole + whole), "answer 200 body", Disorder.SURPLUS_BYTES),
+        RepeatCase(
+            "ahead of the begin of its copy",
+            listOf(whole + "HTTP/1.1"),
+            "answer 200 body",
+            Disorder.SURPLUS_BYTES,
+        ),
+        RepeatCase("ahead of other bytes", listOf(whole + "x"), "answer 200 body", Disorder.SURPLUS_BYTES),
+        RepeatCase(
+            "that names another request too",
+            listOf("HTTP/1.1 200 OK\r\nId: b\r\nId: a\r\nSignature: t\r\nContent-Length: 0\r\n\r\n"),
+            mixed,
+            Disorder.UNNAMED_RESPONSE,
+        ),
+        RepeatCase(
+            "with a copy in its body",
+            listOf("${own}Content-Length: 200\r\n\r\nbo${whole}dy".padEnd(400, 'x')),
+            mixed,
+            Disorder.SURPLUS_BYTES,
+        ),
+        RepeatCase(
+            "with a copy in its body, whose end comes late",
+            listOf("${own}Content-Length: ${whole.length + 2}\r\n\r\nbo$whole"),
+            mixed,
+            Disorder.RESPONSE_IN_BODY,
+        ),
+        RepeatCase(
+            "with an unnamed copy in its body",
+            listOf("${own}Content-Length: 40\r\n\r\nboHTTP/1.1 200 OK\r\nSignature: s\r\n\r\n" + "x".repeat(20)),
+            mixed,
+            Disorder.SURPLUS_BYTES,
+        ),
+        RepeatCase(
+            "with a status line in its body",
+            listOf("${own}Content-Length: 4\r\n\r\nboHTTP/1.1 200 OK\r\ndy"),
+            "answer 200 boHT",
+            Disorder.SURPLUS_BYTES,
+        ),
+        RepeatCase(
+            "with a status line in its body and its rest behind",
+            listOf("${own}Content-Length: 19\r\n\r\nboHTTP/1.1 200 OK\r\n", "dy"),
+            mixed,
+            Disorder.SURPLUS_BYTES,
+        ),
+        RepeatCase(
+            "whose text quotes a status line",
+            listOf("${own}Content-Length: 17\r\n\r\nHTTP/1.1 404 here"),
+            "answer 200 HTTP/1.1 404 here",
+            null,
+        ),
+        RepeatCase(
+            "in chunks, with a copy in one",
+            listOf("${own}Transfer-Encoding: chunked\r\n\r\n4\r\nbo${whole}dy\r\n0\r\n\r\n"),
+            "broken NOT_HTTP",
+            Disorder.NOT_HTTP,
+        ),
+        RepeatCase(
+            "with a copy in a header",
+            listOf("HTTP/1.1 200 OK\r\nId: b\r\nSignature: tHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+            "broken NOT_HTTP",
+            Disorder.NOT_HTTP,
+        ),
+        RepeatCase(
+            "with a copy in its status line",
+            listOf("HTTP/1.1 500 FaiHTTP/1.1 200 OK\r\nId: b\r\nSignature: t\r\nContent-Length: 0\r\n\r\n"),
+            "broken NOT_HTTP",
+            Disorder.NOT_HTTP,
+        ),
+        RepeatCase(
+            "without an id ahead of one with it",
+            listOf("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n$whole"),
+            mixed,
+            Disorder.SURPLUS_BYTES,
+            isReused = false,
+        ),
+        RepeatCase(
+            "to a request for a head, ahead of its copy",
+            listOf("${own}Content-Length: 4\r\n\r\n$whole"),
+            "answer 200 ",
+            Disorder.SURPLUS_BYTES,
+            method = HttpMethod.HEAD,
+        ),
+    ).forEach { case ->
+        test("a response ${case.what}") {
+            val connection = connection()
             if (case.isReused) {
-                channel.exchange("a")
-                channel.receive(framings.getValue("a length"))
+                connection.exchange("a")
+                connection.receive(earlier)
             }
-            val recorder = channel.exchange("b")
-            channel.receive("HTTP/1.1 503 Service Unavailable\r\n${case.idLine}Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+            val recorder = connection.exchange("b", case.method)
+            case.received.forEach(connection::receive)
+            (connection.channel as EmbeddedChannel).advanceTimeBy(1, TimeUnit.SECONDS)
+            (connection.channel as EmbeddedChannel).runScheduledPendingTasks()
             recorder.ends shouldBe listOfNotNull(case.end)
+            connection.record.disorder shouldBe case.disorder
+        }
+    }
+
+    listOf("x" to listOf("answer 200 hello"), earlier to listOf("broken WRONG_ANSWER")).forEach { (rest, ends) ->
+        test("a response without a length that ends with ${rest.take(8)}") {
+            val connection = connection()
+            val recorder = connection.exchange("a")
+            connection.receive("$head\r\nhello".dropLast(if (rest == "x") 1 else 0))
+            connection.receive(if (rest == "x") "o" else rest)
+            connection.channel.close()
+            recorder.ends shouldBe ends
         }
     }
 })
--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerHeadTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerHeadTest.kt
@@ -37,7 +37,7 @@
     ) { case ->
         val headers = DefaultHttpHeaders()
         case.headers.forEach { (name, value) -> headers.add(name, value) }
-        val head = ServerHead(case.status, headers, reusable = true)
+        val head = ServerHead(case.status, headers, isFramed = true, reusable = true)
         head.announcesLeaving(names) shouldBe case.leaves
         head.pauseMilliseconds shouldBe case.pause
     }
--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerLimitsTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerLimitsTest.kt
@@ -50,7 +50,7 @@
     ).forEach { case ->
         test("the limit in a header with the text ${case.text?.take(9)} is ${case.limit}") {
             val headers = DefaultHttpHeaders(false).also { headers -> case.text?.let { headers.set("Limit", it) } }
-            ServerHead(200, headers, reusable = true).limit(names) shouldBe case.limit
+            ServerHead(200, headers, isFramed = true, reusable = true).limit(names) shouldBe case.limit
         }
     }
 
