Send interim responses in the order of the requests

Callers that pipeline requests and expect an interim response before a body got it ahead of the response to an earlier request, where a client takes it for bytes of that one. Beside HEAD the encoder counted it as a response and took the method of the wrong request, so that a body could be left out or added.

Cause: it was written when the head was read, past the queue of responses, and through an encoder that matches responses to requests by order. It is now sent when the earlier responses have ended, and not if the body has arrived by then, past the encoder.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
@@ -43,14 +43,21 @@
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter(), ReaderListener {
     private lateinit var context: ChannelHandlerContext
-    private val reader = RequestReader({ handler.bodyLimit }, handler.bodyMemory, clock, this)
-    private val turns: TurnQueue = TurnQueue({ handler.isStopping }) { watch.readWhile(mayRead) }
+    private val interim = InterimResponse()
+    private val reader = RequestReader({ handler.bodyLimit }, handler.bodyMemory, clock, this) {
+        interim.expect(context, isAnswered)
+    }
+    private val turns: TurnQueue = TurnQueue({ handler.isStopping }) {
+        if (isAnswered) interim.send(context)
+        watch.readWhile(mayRead)
+    }
 
     /**
      * Nothing is read behind responses that are not taken. While responses are pending, reading goes on, since only
      * that shows that the caller has left; the codec bounds how many there are.
      */
     private val mayRead: () -> Boolean = { context.channel().isWritable || !turns.isIdle }
+    private val isAnswered: Boolean get() = turns.isIdle
     private var hasReadFailed = false
     private var lastReadAt = clock()
     private val hasUnsentOutput: Boolean
@@ -94,7 +101,7 @@
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             lastReadAt = clock()
-            if (!hasReadFailed && !turns.isClosed && message is HttpObject) reader.read(context, message)
+            if (!hasReadFailed && !turns.isClosed && message is HttpObject) reader.read(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -118,11 +125,13 @@
     }
 
     override fun onRequest(request: CallerRequest, keepAlive: Boolean) {
+        interim.cancel()
         watch.onMessageReceived()
         handler.handle(request, turns.add(context.channel(), keepAlive, clock))
     }
 
     override fun onInvalid(error: RequestError) {
+        interim.cancel()
         hasReadFailed = true
         handler.reject(error, turns.add(context.channel(), keepAlive = false, clock))
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestReader.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestReader.kt
@@ -3,16 +3,11 @@
  */
 package rhubarbspool.entry
 
-import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelHandlerContext
-import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
@@ -38,12 +33,16 @@
     fun onInvalid(error: RequestError)
 }
 
-/** Reads requests; [bodyLimit] is the maximum size of a body in bytes, [memory] holds the bodies. */
+/**
+ * Reads requests; [bodyLimit] is the maximum size of a body in bytes, [memory] holds the bodies. Calls
+ * [onContinueExpected] when a caller waits for an interim response before it sends a body.
+ */
 internal class RequestReader(
     private val bodyLimit: () -> Long,
     private val memory: BodyMemory,
     private val clock: () -> Long,
     private val listener: ReaderListener,
+    private val onContinueExpected: () -> Unit,
 ) {
     private var head: HttpRequest? = null
     private var body = ByteArrayOutputStream(0)
@@ -55,9 +54,9 @@
     val isIdle: Boolean get() = head == null
 
     /** Reads the next HTTP object. */
-    fun read(context: ChannelHandlerContext, message: HttpObject) {
+    fun read(message: HttpObject) {
         if (message.decoderResult().isFailure) return onDecoderFailure(message.decoderResult().cause())
-        if (message is HttpRequest) onHead(context, message)
+        if (message is HttpRequest) onHead(message)
         if (message is HttpContent) onContent(message)
     }
 
@@ -66,14 +65,13 @@
         reject(if (tooLong) ErrorKind.HEADERS_TOO_LARGE else ErrorKind.MALFORMED_REQUEST)
     }
 
-    private fun onHead(context: ChannelHandlerContext, request: HttpRequest) {
+    private fun onHead(request: HttpRequest) {
         head = request
         body = ByteArrayOutputStream(0)
         if (HttpUtil.getContentLength(request, 0L) > bodyLimit()) {
             reject(ErrorKind.BODY_TOO_LARGE)
         } else if (HttpUtil.is100ContinueExpected(request)) {
-            val status = HttpResponseStatus.CONTINUE
-            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER))
+            onContinueExpected()
         }
     }
 
