Read what follows a doubtful response though its caller reads slowly

A response that quotes a status line is relayed 20 ms after its last byte unless something follows. While its caller reads slowly, nothing is read from the server, so what follows a streamed response could go unseen in that time.

Cause: the pause for slow callers outlasted the response.

Found by reading.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
@@ -112,6 +112,8 @@
             complete()
         } else if (!isSettling) {
             isSettling = true
+            // What follows is not relayed, so it need not wait for the caller.
+            channel.config().isAutoRead = true
             channel.eventLoop().schedule(::complete, SETTLE_MILLISECONDS, TimeUnit.MILLISECONDS)
         }
     }
--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
@@ -284,4 +284,13 @@
             recorder.ends shouldBe ends
         }
     }
+
+    test("what follows a response that quotes a status line is read though its caller reads slowly") {
+        val connection = connection()
+        val recorder = connection.exchange("b")
+        connection.channel.config().isAutoRead = false
+        connection.receive("${own}Content-Length: 12\r\n\r\nHTTP/1.1 404")
+        connection.channel.config().isAutoRead shouldBe true
+        recorder.ends.shouldBeEmpty()
+    }
 })
