Refuse a body that ends in the begin of a repeated response

Callers got a response that was cut off by up to 11 bytes, with the first bytes of its late copy as the end of its body: a server truncates its response, sends it once more, and the copy fills up the announced length.

Cause: a body was doubted only if it contained a whole status line, HTTP/1.1 200. The bytes behind it showed that the connection was out of order, but not that the body was mixed. A body that ends in the begin of a status line is now doubted like one that contains it: it is relayed if nothing follows, and refused if something does. Ruled out: chunks, trailers and heads that are cut off ahead of a copy, which the decoder refuses; cases for these pass with and without the change.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ResponseAssembly.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ResponseAssembly.kt
@@ -28,8 +28,8 @@
     var isComplete = false
         private set
 
-    /** Whether the body quotes a status line, so that it may end later than it seems. */
-    val isDoubtful: Boolean get() = scanner.hasStatusLine
+    /** Whether the body contains a status line, or the begin of one at its end, so that it may not end as it seems. */
+    val isDoubtful: Boolean get() = scanner.hasStatusLine || scanner.endsInStatusLine
 
     /** Number of bytes of the body that have not been taken. */
     val bufferedBytes: Int get() = buffered.readableBytes()
@@ -79,7 +79,9 @@
     fun flaw(failed: Boolean): BreakCause? {
         val current = head
         val isDisordered = record.disorder != null
-        val isMixed = scanner.hasRepeat || (isDoubtful && (isDisordered || current?.isFramed == false))
+        val hasNoLength = current?.isFramed == false
+        val isMixed =
+            scanner.hasRepeat || (isDoubtful && isDisordered) || (scanner.hasStatusLine && hasNoLength)
         if (isMixed) record.onDisorder(Disorder.RESPONSE_IN_BODY)
         // One that names no request may be a copy of one that follows.
         val isUnnamed = current?.headers?.contains(names.requestId) != true
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
@@ -19,12 +19,16 @@
     var hasRepeat = false
         private set
 
+    /** Whether the body ends with bytes with which a status line begins. */
+    val endsInStatusLine: Boolean
+        get() = (maxOf(0, tail.size - STATUS_LINE_BYTES + 1) until tail.size).any { mayBeStatusLine(tail, it) }
+
     /** Searches [part], which follows the earlier parts; its indexes are not changed. */
     fun scan(part: ByteBuf) {
         val bytes = tail.copyOf(tail.size + part.readableBytes())
         part.getBytes(part.readerIndex(), bytes, tail.size, part.readableBytes())
         for (index in 0..bytes.size - STATUS_LINE_BYTES) {
-            if (bytes[index] == FIRST_BYTE && isStatusLine(bytes, index)) onStatusLine(bytes, index)
+            if (bytes[index] == FIRST_BYTE && mayBeStatusLine(bytes, index)) onStatusLine(bytes, index)
         }
         tail = bytes.copyOfRange(maxOf(0, bytes.size - HEAD_BYTES), bytes.size)
     }
@@ -53,9 +57,15 @@
 
         private fun isStatusLineIn(text: String) = VERSION in text && STATUS_LINE.containsMatchIn(text)
 
-        private fun isStatusLine(bytes: ByteArray, index: Int): Boolean =
-            VERSION.indices.all { bytes[index + it] == VERSION[it].code.toByte() } &&
-                bytes[index + STATUS_AT - 1] == ' '.code.toByte() &&
-                (STATUS_AT until STATUS_LINE_BYTES).all { bytes[index + it] in '0'.code..'9'.code }
+        /** Whether [bytes] has a status line from [index] on, or ends in one. */
+        private fun mayBeStatusLine(bytes: ByteArray, index: Int): Boolean =
+            (0 until minOf(STATUS_LINE_BYTES, bytes.size - index)).all { isPartOfStatusLine(bytes[index + it], it) }
+
+        private fun isPartOfStatusLine(byte: Byte, position: Int): Boolean = when {
+            position < VERSION.length -> byte == VERSION[position].code.toByte()
+            position == STATUS_AT - 1 -> byte == ' '.code.toByte()
+            position >= STATUS_AT -> byte in '0'.code..'9'.code
+            else -> true
+        }
     }
 }
