Read on behind a response that may be mixed though its caller reads slowly

Callers that read a large response slowly could get another response's bytes in its body: the response is held back for a moment to see whether its rest follows, but nothing was read meanwhile.

Cause: reading from the server is paused while the caller reads slowly, also when the last byte of the response has arrived. It now goes on from then on; what arrives is only noted, so it takes no memory. Ruled out: the moment's end, which comes whether or not anything was read.

ServerExchangeTest: the new case failed before, since reading stayed paused, and passes now. No run over real connections shows the mixed body itself.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
@@ -87,11 +87,11 @@
     /** Whether nothing was received on a connection that was used before, so that it may be silent for good. */
     val isSilent: Boolean get() = isReused && !hasReceived
 
-    /** Whether more is read from the server; paused while the caller reads slowly. */
+    /** Whether more is read from the server; paused while the caller reads slowly, until the response has arrived. */
     var isReading: Boolean
         get() = channel.config().isAutoRead
         set(enabled) {
-            if (!hasEnded) channel.config().isAutoRead = enabled
+            if (!hasEnded && !isSettling) channel.config().isAutoRead = enabled
         }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -112,6 +112,7 @@
             complete()
         } else if (!isSettling) {
             isSettling = true
+            channel.config().isAutoRead = true
             channel.eventLoop().schedule(::complete, SETTLE_MILLISECONDS, TimeUnit.MILLISECONDS)
         }
     }
--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
@@ -294,6 +294,24 @@
         }
     }
 
+    // Guards against the rest of a response in a body that is not read because the caller reads slowly.
+    test("a response that may be mixed is read on though its caller reads slowly") {
+        val connection = connection()
+        val recorder = EndRecorder()
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x")
+        val exchange = ServerExchange(connection, request, "b", NAMES, recorder).also { it.start() }
+        connection.receive("${own}Content-Length: 200012\r\n\r\n" + "x".repeat(200_000))
+        exchange.isReading = false
+        connection.receive("HTTP/1.1 404")
+        exchange.isReading shouldBe true
+        exchange.isReading = false
+        exchange.isReading shouldBe true
+        connection.receive("x")
+        (connection.channel as EmbeddedChannel).advanceTimeBy(1, TimeUnit.SECONDS)
+        (connection.channel as EmbeddedChannel).runScheduledPendingTasks()
+        recorder.ends shouldBe listOf(mixed)
+    }
+
     listOf("x" to listOf("answer 200 hello"), earlier to listOf("broken WRONG_ANSWER")).forEach { (rest, ends) ->
         test("a response without a length that ends with ${rest.take(8)}") {
             val connection = connection()
