Close connections that can carry no further request

Servers bound the number of their connections and reset those beyond it. A connection that had carried its 100 requests went back among the idle ones, where no request could take it, and stayed open until its idle time had passed.

Cause: the bound was checked when a connection is taken, but not when it is returned. Ruled out: connections that are out of order, which were closed on return already.

ServerConnectionsTest: the case of 100 requests failed before; all pass now.

--- a/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/ConnectionRecord.kt
+++ b/rhubarbspool-core/src/main/kotlin/rhubarbspool/dispatch/ConnectionRecord.kt
@@ -50,11 +50,14 @@
     var disorder: Disorder? = null
         private set
 
+    /** Whether the connection may carry another request. */
+    val isReusable: Boolean get() = disorder == null && requestCount < MAXIMUM_REQUESTS
+
     /**
      * Whether the connection may carry the request with [id]. No two requests with one id share a connection, not even
      * attempts of the same request, because the id tells their responses apart.
      */
-    fun mayCarry(id: String): Boolean = disorder == null && requestCount < MAXIMUM_REQUESTS && id !in marks
+    fun mayCarry(id: String): Boolean = isReusable && id !in marks
 
     /** The request with [id] is sent. */
     fun begin(id: String) {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerConnections.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerConnections.kt
@@ -56,7 +56,7 @@
 
     override fun release(connection: ServerConnection, keepAlive: Long) {
         val now = clock()
-        val isReusable = connection.record.disorder == null && reuse.isAllowed(connection.address, now)
+        val isReusable = connection.record.isReusable && reuse.isAllowed(connection.address, now)
         if (!isReusable || !connection.channel.isActive) return connection.close()
         connection.channel.config().isAutoRead = true
         idle.getOrPut(connection.address) { ArrayDeque() }
