Relay the id and the signature of a response whatever its Connection header names

Callers would get a success without its proof from a server that names the header of its signature in Connection.

Cause: headers named there concern one connection only and are removed, after the response was accepted for its signature. The id and the signature are now always relayed. Ruled out: other headers, which are removed as before.

ServerRequestsTest: two of five cases failed before, all pass now.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerRequests.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerRequests.kt
@@ -57,9 +57,16 @@
         )
     }
 
-    /** The headers of a server's response as sent to the caller; only proved refusals state that nothing was run. */
-    fun answerHeaders(headers: HttpHeaders, names: HeaderNames): HttpHeaders =
-        endToEnd(headers).remove(names.load).remove(names.notExecuted)
+    /**
+     * The headers of a server's response as sent to the caller, always with the id and the signature; only proved
+     * refusals state that nothing was run.
+     */
+    fun answerHeaders(headers: HttpHeaders, names: HeaderNames): HttpHeaders {
+        val answer = endToEnd(headers).remove(names.load).remove(names.notExecuted)
+        listOf(names.requestId, names.signature).filter { it in headers }
+            .forEach { answer.set(it, headers.getAll(it)) }
+        return answer
+    }
 
     private fun endToEnd(headers: HttpHeaders): HttpHeaders {
         val copy = headers.copy()
