--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
@@ -282,6 +282,18 @@
             "broken NOT_HTTP",
             Disorder.NOT_HTTP,
         ),
+        RepeatCase(
+            "behind the status line of another",
+            listOf("HTTP/1.1 500 Failed\r\n$whole"),
+            "broken NOT_HTTP",
+            Disorder.NOT_HTTP,
+        ),
+        RepeatCase(
+            "behind a part of the head of another",
+            listOf("HTTP/1.1 500 Failed\r\nC$whole"),
+            "broken NOT_HTTP",
+            Disorder.NOT_HTTP,
+        ),
         RepeatCase(
             "with a copy in a header",
             listOf("HTTP/1.1 200 OK\r\nId: b\r\nSignature: tHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
