--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ResponseAssembly.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ResponseAssembly.kt
@@ -17,7 +17,7 @@
 /** The response on the connection of [record]. */
 internal class ResponseAssembly(private val record: ConnectionRecord, private val names: HeaderNames) {
     private val scanner = StatusLineScanner { record.isNamedIn(it) || names.notExecuted in it }
-    private val buffered = Unpooled.compositeBuffer(MAXIMUM_PARTS)
+    private var buffered = Unpooled.compositeBuffer(MAXIMUM_PARTS)
     private var isSkipping = false
 
     /** The head of the response; null until it has arrived. */
@@ -93,11 +93,10 @@
     }
 
     /** Takes the bytes of the body that have arrived; the caller owns them. */
-    fun takeBody(): ByteBuf {
-        val body = buffered.copy()
-        buffered.skipBytes(buffered.readableBytes()).discardReadComponents()
-        return body
-    }
+    fun takePart(): ByteBuf = buffered.also { buffered = Unpooled.compositeBuffer(MAXIMUM_PARTS) }
+
+    /** A copy of the bytes of the body that were not taken; the caller owns it. */
+    fun copyRest(): ByteBuf = buffered.copy()
 
     /** Releases the bytes that were not taken. */
     fun release() {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
@@ -140,7 +140,7 @@
             isStreaming = true
             listener.onStreamStarted(head)
         }
-        if (isStreaming && !hasEnded && response.bufferedBytes > 0) listener.onStreamBytes(response.takeBody())
+        if (isStreaming && !hasEnded && response.bufferedBytes > 0) listener.onStreamBytes(response.takePart())
     }
 
     /** Ends the exchange with the response that has arrived. */
@@ -153,7 +153,7 @@
         val flaw = response.flaw(connectionFailed)
         if (flaw != null) return abort(flaw)
         hasEnded = true
-        val body = response.takeBody()
+        val body = response.copyRest()
         response.release()
         if (isRequestWritten) releaseChannel()
         if (isStreaming) {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
@@ -9,6 +9,7 @@
 
 /** Searches a body part by part; [isRepeat] says whether the text from a status line on is a repeated response. */
 internal class StatusLineScanner(private val isRepeat: (String) -> Boolean) {
+    /** The last bytes of the body from the begin of a status line on, whose head may not have ended; else none. */
     private var tail = ByteArray(0)
 
     /** Whether the body has contained a status line. */
@@ -21,16 +22,30 @@
 
     /** Whether the body ends with bytes with which a status line begins. */
     val endsInStatusLine: Boolean
-        get() = (maxOf(0, tail.size - STATUS_LINE_BYTES + 1) until tail.size).any { mayBeStatusLine(tail, it) }
+        get() = (maxOf(0, tail.size - STATUS_LINE_BYTES + 1) until tail.size)
+            .any { mayBeStatusLine(tail.size - it) { offset -> tail[it + offset] } }
 
     /** Searches [part], which follows the earlier parts; its indexes are not changed. */
     fun scan(part: ByteBuf) {
-        val bytes = tail.copyOf(tail.size + part.readableBytes())
-        part.getBytes(part.readerIndex(), bytes, tail.size, part.readableBytes())
-        for (index in 0..bytes.size - STATUS_LINE_BYTES) {
-            if (bytes[index] == FIRST_BYTE && mayBeStatusLine(bytes, index)) onStatusLine(bytes, index)
+        val start = if (tail.isEmpty()) firstStatusLine(part) else part.readerIndex()
+        if (start < 0) return
+        val length = part.writerIndex() - start
+        val bytes = tail.copyOf(tail.size + length)
+        part.getBytes(start, bytes, tail.size, length)
+        val starts = bytes.indices.filter { mayBeStatusLine(bytes.size - it) { offset -> bytes[it + offset] } }
+        starts.filter { bytes.size - it >= STATUS_LINE_BYTES }.forEach { onStatusLine(bytes, it) }
+        val open = starts.firstOrNull { bytes.size - it < HEAD_BYTES }
+        tail = if (open == null) ByteArray(0) else bytes.copyOfRange(open, bytes.size)
+    }
+
+    /** Where a status line starts in [part], or the begin of one at its end; -1 if there is none. */
+    private fun firstStatusLine(part: ByteBuf): Int {
+        val end = part.writerIndex()
+        var index = part.indexOf(part.readerIndex(), end, FIRST_BYTE)
+        while (index >= 0 && !mayBeStatusLine(end - index) { part.getByte(index + it) }) {
+            index = part.indexOf(index + 1, end, FIRST_BYTE)
         }
-        tail = bytes.copyOfRange(maxOf(0, bytes.size - HEAD_BYTES), bytes.size)
+        return index
     }
 
     private fun onStatusLine(bytes: ByteArray, index: Int) {
@@ -57,9 +72,9 @@
 
         private fun isStatusLineIn(text: String) = VERSION in text && STATUS_LINE.containsMatchIn(text)
 
-        /** Whether [bytes] has a status line from [index] on, or ends in one. */
-        private fun mayBeStatusLine(bytes: ByteArray, index: Int): Boolean =
-            (0 until minOf(STATUS_LINE_BYTES, bytes.size - index)).all { isPartOfStatusLine(bytes[index + it], it) }
+        /** Whether the [length] bytes that [byteAt] returns start with a status line, or are the begin of one. */
+        private inline fun mayBeStatusLine(length: Int, byteAt: (Int) -> Byte): Boolean =
+            (0 until minOf(STATUS_LINE_BYTES, length)).all { isPartOfStatusLine(byteAt(it), it) }
 
         private fun isPartOfStatusLine(byte: Byte, position: Int): Boolean = when {
             position < VERSION.length -> byte == VERSION[position].code.toByte()
