Compare bytes with a status line without a range for each

The search made a range and boxed numbers at each H of a body. Heap bytes a response of 400, 20,000 and 200,000 bytes: 6,107, 37,728 and 132,540 before, 5,883, 25,912 and 14,660 now; processor time 13.5, 72 and 565 us before, 13, 66 and 505 us now (the measurement of the commit before). ServerExchangeTest and StatusLineScannerTest pass.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
@@ -73,8 +73,12 @@
         private fun isStatusLineIn(text: String) = VERSION in text && STATUS_LINE.containsMatchIn(text)
 
         /** Whether the [length] bytes that [byteAt] returns start with a status line, or are the begin of one. */
-        private inline fun mayBeStatusLine(length: Int, byteAt: (Int) -> Byte): Boolean =
-            (0 until minOf(STATUS_LINE_BYTES, length)).all { isPartOfStatusLine(byteAt(it), it) }
+        private inline fun mayBeStatusLine(length: Int, byteAt: (Int) -> Byte): Boolean {
+            val end = minOf(STATUS_LINE_BYTES, length)
+            var count = 0
+            while (count < end && isPartOfStatusLine(byteAt(count), count)) count++
+            return count == end
+        }
 
         private fun isPartOfStatusLine(byte: Byte, position: Int): Boolean = when {
             position < VERSION.length -> byte == VERSION[position].code.toByte()
