--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
@@ -57,7 +57,7 @@
      * that shows that the caller has left; the codec bounds how many there are.
      */
     private val mayRead: () -> Boolean = { context.channel().isWritable || !turns.isIdle }
-    private val isAnswered: Boolean get() = turns.isIdle
+    private val isAnswered: Boolean get() = turns.isIdle && !turns.isClosed
     private var hasReadFailed = false
     private var lastReadAt = clock()
     private val hasUnsentOutput: Boolean
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
@@ -9,7 +9,9 @@
 
 /** Searches a body part by part; [isRepeat] says whether the text from a status line on is a repeated response. */
 internal class StatusLineScanner(private val isRepeat: (String) -> Boolean) {
+    /** The last bytes of the body from the beginning of a status line on, whose head may not have ended; else none. */
     private var tail = ByteArray(0)
+    private var searches = 0
 
     /** Whether the body has contained a status line, or the beginning of one up to its status. */
     var hasStatusLine = false
@@ -22,24 +24,38 @@
     /** Number of bytes at the end of the body that may be the beginning of a status line that goes on behind it. */
     val begunBytes: Int
         get() {
-            val end = String(tail, Charsets.ISO_8859_1)
-            return BEGINNINGS.filter(end::endsWith).maxOfOrNull { it.length } ?: 0
+            val first = maxOf(0, tail.size - STATUS_LINE_BYTES + 1)
+            val start = (first until tail.size).firstOrNull { isBegun(tail.size - it) { at -> tail[it + at] } }
+            return if (start == null) 0 else tail.size - start
         }
 
     /** Searches [part], which follows the earlier parts; its indexes are not changed. */
     fun scan(part: ByteBuf) {
-        val bytes = tail.copyOf(tail.size + part.readableBytes())
-        part.getBytes(part.readerIndex(), bytes, tail.size, part.readableBytes())
-        for (index in 0..bytes.size - STATUS_LINE_BYTES) {
-            if (bytes[index] == FIRST_BYTE && isStatusLine(bytes, index)) onStatusLine(bytes, index)
+        val start = if (tail.isEmpty()) firstStatusLine(part) else part.readerIndex()
+        if (start < 0) return
+        val length = part.writerIndex() - start
+        val bytes = tail.copyOf(tail.size + length)
+        part.getBytes(start, bytes, tail.size, length)
+        val starts = bytes.indices.filter { isBegun(bytes.size - it) { at -> bytes[it + at] } }
+        starts.filter { bytes.size - it >= STATUS_LINE_BYTES }.forEach { onStatusLine(bytes, it) }
+        val open = starts.firstOrNull { bytes.size - it < HEAD_BYTES }
+        tail = if (open == null) ByteArray(0) else bytes.copyOfRange(open, bytes.size)
+    }
+
+    /** Where a status line starts in [part], or the beginning of one at its end; -1 if there is none. */
+    private fun firstStatusLine(part: ByteBuf): Int {
+        val end = part.writerIndex()
+        var index = part.indexOf(part.readerIndex(), end, FIRST_BYTE)
+        while (index >= 0 && !isBegun(end - index) { part.getByte(index + it) }) {
+            index = part.indexOf(index + 1, end, FIRST_BYTE)
         }
-        tail = bytes.copyOfRange(maxOf(0, bytes.size - HEAD_BYTES), bytes.size)
+        return index
     }
 
     private fun onStatusLine(bytes: ByteArray, index: Int) {
         hasStatusLine = true
-        val length = minOf(HEAD_BYTES, bytes.size - index)
-        hasRepeat = hasRepeat || isRepeat(String(bytes, index, length, Charsets.ISO_8859_1))
+        if (hasRepeat || searches++ >= MAXIMUM_SEARCHES) return
+        hasRepeat = isRepeat(String(bytes, index, minOf(HEAD_BYTES, bytes.size - index), Charsets.ISO_8859_1))
     }
 
     companion object {
@@ -50,12 +66,11 @@
         private const val STATUS_LINE_BYTES = 10
         private const val STATUS_AT = 9
 
-        /** What a status line begins with, up to its status. */
-        private val BEGINNINGS = listOf("HTTP/1.0 ", "HTTP/1.1 ")
-            .flatMap { line -> line.indices.map { line.take(it + 1) } }
-
         /** Bytes of a head in which the names of its request and its signature are searched. */
         private const val HEAD_BYTES = 1_024
+
+        /** Bounds the time for a body that is full of status lines. */
+        private const val MAXIMUM_SEARCHES = 100
         private val STATUS_LINE = Regex("HTTP/1[.][01] [0-9]")
 
         /** Whether the reason phrase or the value of a header of [response] contains a status line. */
@@ -64,9 +79,19 @@
 
         private fun isStatusLineIn(text: String) = VERSION in text && STATUS_LINE.containsMatchIn(text)
 
-        private fun isStatusLine(bytes: ByteArray, index: Int): Boolean =
-            VERSION.indices.all { bytes[index + it] == VERSION[it].code.toByte() } &&
-                bytes[index + STATUS_AT - 1] == ' '.code.toByte() &&
-                bytes[index + STATUS_AT] in '0'.code..'9'.code
+        /** Whether the [length] bytes that [byteAt] returns start with a status line, or are the beginning of one. */
+        private inline fun isBegun(length: Int, byteAt: (Int) -> Byte): Boolean {
+            val end = minOf(STATUS_LINE_BYTES, length)
+            var count = 0
+            while (count < end && isPartOfStatusLine(byteAt(count), count)) count++
+            return count == end
+        }
+
+        private fun isPartOfStatusLine(byte: Byte, position: Int): Boolean = when {
+            position < VERSION.length -> byte == VERSION[position].code.toByte()
+            position == STATUS_AT - 1 -> byte == ' '.code.toByte()
+            position >= STATUS_AT -> byte in '0'.code..'9'.code
+            else -> true
+        }
     }
 }
