Keep headers of the protocol whatever a connection's options name

Callers could get a success without its server's signature, and servers a request without its id, key or host, which they refuse or run as another one.

Cause: all headers that `Connection` names were removed, as those of one connection, also the ones that the platform's protocol and the framing need. RFC 9110 forbids senders to name such headers; what was received is no reason to lose them. Ruled out: a success without signature from the server itself, which is refused before its headers are converted.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerRequests.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerRequests.kt
@@ -36,11 +36,21 @@
         "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
         "Transfer-Encoding", "Upgrade", "Expect",
     )
+
+    /** Headers that are meant for all recipients, whatever the options of a connection name. */
+    private val END_TO_END = listOf(
+        "Host",
+        "Content-Length",
+        "Content-Encoding",
+        "Content-Range",
+        "Content-Type",
+        "Retry-After",
+    )
     private val BODY_METHODS = setOf("POST", "PUT", "PATCH")
 
     /** The request to send to [entry]; the server stops work on it after [remaining] milliseconds. */
     fun of(request: CallerRequest, entry: BackendEntry, names: HeaderNames, remaining: Long): FullHttpRequest {
-        val headers = endToEnd(request.headers)
+        val headers = endToEnd(request.headers, names)
         headers.set(names.timeout, remaining)
         headers.set(names.target, entry.server.text)
         headers.remove(HttpHeaderNames.CONTENT_LENGTH)
@@ -59,11 +69,12 @@
 
     /** The headers of a server's response as sent to the caller; only proved refusals state that nothing was run. */
     fun answerHeaders(headers: HttpHeaders, names: HeaderNames): HttpHeaders =
-        endToEnd(headers).remove(names.load).remove(names.notExecuted)
+        endToEnd(headers, names).remove(names.load).remove(names.notExecuted)
 
-    private fun endToEnd(headers: HttpHeaders): HttpHeaders {
+    private fun endToEnd(headers: HttpHeaders, names: HeaderNames): HttpHeaders {
         val copy = headers.copy()
-        headers.getAll("Connection").flatMap { it.split(',') }.map(String::trim).filter(String::isNotEmpty)
+        headers.getAll("Connection").flatMap { it.split(',') }.map(String::trim)
+            .filterNot { option -> option.isEmpty() || (END_TO_END + names.all).any { option.equals(it, true) } }
             .forEach { copy.remove(it) }
         HOP_BY_HOP.forEach { copy.remove(it) }
         return copy
