Tie the HTTP client's decoder to one call

Calls to the store, and orders to servers, got the response to an earlier call, or one put together from two, when a server sent a response twice or a part of it again.

Cause: the decoder lived as long as the connection. What it held behind a response stayed there, the connection went back to the idle ones, and the next response was read as the rest of what was left. CallExchange now has a decoder of its own: what arrives beside the one response ends the connection, and on a reused one the call too, since the first response may be the copy. A response with a status line in its head, or in its body on a reused connection, fails the call. Ruled out: copies that are read while the connection is idle, which closed it before, and interim responses.

SurplusResponseTest on: 6 of 8 tests failed (with 56 of 68 parts of a copy, calls failed or got another's response), all pass now. IdleConnectionTest, EndlessBytesTest, EndlessStoreTest, StoreClientTest, GrantClientTest, LateCopiesTest, SilentConnectionsTest and TableContractTest pass. A whole copy that is read alone while the next call waits is still taken for its response where calls share a connection.

--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
@@ -1,8 +1,9 @@
 /*
  * A small HTTP client over Netty for requests and responses that fit in memory, used for the platform's services,
  * health endpoints and the operators' command line. Idle connections are kept open and reused. On a reused connection,
- * only the order of responses shows which call one belongs to, and a faulty server may send one twice; calls for which
- * that matters are sent on a connection of their own. An open connection may go silent for good, often together with
+ * only the order of responses shows which call one belongs to, and a faulty server may send one twice: calls for which
+ * that matters are sent on a connection of their own, and a connection that delivers anything but the one response to
+ * the call in flight is not used again. An open connection may go silent for good, often together with
  * others: a call without a response in time also closes the idle connections that gave no sign of life since.
  */
 package rhubarbspool.edge
@@ -10,23 +11,17 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
-import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import rhubarbspool.model.Address
-import java.io.IOException
 import java.util.ArrayDeque
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
@@ -68,7 +63,7 @@
         val sentAt = ProcessClock.monotonic()
         val idleChannel = if (call.isExclusive) null else pollIdle(address)
         if (idleChannel != null) {
-            exchange(idleChannel, address, call, answer)
+            exchange(idleChannel, isReused = true, address, call, answer)
         } else {
             connect(address, call, answer)
         }
@@ -116,38 +111,44 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    val aggregator = HttpObjectAggregator(maximumAnswerBytes)
-                    channel.pipeline()
-                        .addLast(UnsolicitedBytesHandler(AnswerHandler::class.java), HttpClientCodec(), aggregator)
+                    channel.pipeline().addLast(UnsolicitedBytesHandler(CallExchange::class.java))
                 }
             })
             .connect(address.host, address.port)
         connectFuture.addListener {
             if (it.isSuccess) {
-                exchange(
-                    connectFuture.channel(),
-                    address,
-                    call,
-                    answer
-                )
+                exchange(connectFuture.channel(), isReused = false, address, call, answer)
             } else {
                 answer.completeExceptionally(it.cause())
             }
         }
     }
 
-    private fun exchange(channel: Channel, address: Address, call: HttpCall, answer: CompletableFuture<HttpAnswer>) {
-        val handler = AnswerHandler(address, call, answer)
-        val bytesHandler = AnswerBytesHandler(maximumAnswerBytes) {
-            answer.completeExceptionally(IOException("$address sent over $maximumAnswerBytes bytes for a response"))
+    private fun exchange(
+        channel: Channel,
+        isReused: Boolean,
+        address: Address,
+        call: HttpCall,
+        answer: CompletableFuture<HttpAnswer>,
+    ) {
+        val exchange = CallExchange(channel, address, isReused, maximumAnswerBytes, answer) { isReusable ->
+            if (isReusable && !call.isExclusive) putIdle(address, channel) else channel.close()
         }
-        channel.pipeline().addFirst(bytesHandler).addLast(handler)
         answer.whenComplete { _, failure -> if (failure != null) closeWithReset(channel) }
-        channel.writeAndFlush(toNettyRequest(address, call)).addListener {
-            if (!it.isSuccess) answer.completeExceptionally(it.cause())
+        val request = toNettyRequest(address, call)
+        if (channel.eventLoop().inEventLoop()) {
+            exchange.start(request)
+        } else {
+            channel.eventLoop().execute { exchange.start(request) }
         }
     }
 
+    private fun putIdle(address: Address, channel: Channel) {
+        val channels = idle.computeIfAbsent(address) { ArrayDeque() }
+        val released = IdleChannel(channel, ProcessClock.monotonic())
+        synchronized(channels) { channels.addFirst(released) }
+    }
+
     /** Closes [channel] with a TCP reset: unsent bytes are dropped, so an abandoned call can't arrive later. */
     private fun closeWithReset(channel: Channel) {
         channel.config().setOption(ChannelOption.SO_LINGER, 0)
@@ -164,48 +165,7 @@
         return request
     }
 
-    private inner class AnswerHandler(
-        private val address: Address,
-        private val call: HttpCall,
-        private val answer: CompletableFuture<HttpAnswer>,
-    ) : SimpleChannelInboundHandler<FullHttpResponse>() {
-        override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
-            val decodeError = response.decoderResult().cause()
-            when {
-                decodeError != null ->
-                    answer.completeExceptionally(IOException("$address sent an invalid HTTP response", decodeError))
-
-                response.status().code() >= FIRST_FINAL_STATUS -> onAnswer(context, response)
-            }
-        }
-
-        private fun onAnswer(context: ChannelHandlerContext, response: FullHttpResponse) {
-            val headers = response.headers().associate { it.key.lowercase() to it.value }
-            val body = response.content().toString(Charsets.UTF_8)
-            context.pipeline().remove(AnswerBytesHandler::class.java)
-            context.pipeline().remove(this)
-            if (HttpUtil.isKeepAlive(response) && !answer.isDone && !call.isExclusive) {
-                val channels = idle.computeIfAbsent(address) { ArrayDeque() }
-                val released = IdleChannel(context.channel(), ProcessClock.monotonic())
-                synchronized(channels) { channels.addFirst(released) }
-            } else {
-                context.close()
-            }
-            answer.complete(HttpAnswer(response.status().code(), headers, body))
-        }
-
-        override fun channelInactive(context: ChannelHandlerContext) {
-            answer.completeExceptionally(IOException("$address closed the connection before its response was complete"))
-        }
-
-        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            answer.completeExceptionally(cause)
-            context.close()
-        }
-    }
-
     private companion object {
-        const val FIRST_FINAL_STATUS = 200
         const val MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
     }
 }
