--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/StatusLineScannerTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/StatusLineScannerTest.kt
@@ -13,7 +13,7 @@
     fun found(parts: List<String>): List<Boolean> {
         val scanner = StatusLineScanner { "Id: a\r\n" in it }
         parts.forEach { scanner.scan(Unpooled.copiedBuffer(it, Charsets.US_ASCII)) }
-        return listOf(scanner.hasStatusLine, scanner.hasRepeat, scanner.endsInStatusLine)
+        return listOf(scanner.hasStatusLine, scanner.hasRepeat, scanner.begunBytes > 0)
     }
 
     val repeat = "HTTP/1.1 200 OK\r\nId: a\r\n\r\n"
@@ -21,13 +21,14 @@
 
     // Whether there is a status line, a repeated response, and the begin of a status line at the end.
     listOf(
-        BodyCase("no status line", "HHTTP/1.1 20x HTTP/2.0 200 and HTTP", listOf(false, false, true)),
-        BodyCase("other text at the end", "HTTP/1.1 20x", listOf(false, false, false)),
+        BodyCase("no status line", "HHTTP/1.1 x HTTP/2.0 200 and HTTP", listOf(false, false, true)),
+        BodyCase("other text at the end", "HTTP/1.1 x", listOf(false, false, false)),
+        BodyCase("a status line that is cut off in its status", "HTTP/1.1 2", listOf(true, false, false)),
         BodyCase("a status line", "some HTTP/1.0 404 text", listOf(true, false, false)),
         BodyCase("a repeated response", "some $repeat text", listOf(true, true, false)),
         BodyCase("a repeated response behind another status line", "HTTP/1.1 404 $repeat", listOf(true, true, false)),
         BodyCase("an id far behind a status line", "HTTP/1.1 404 $farText", listOf(true, false, false)),
-        BodyCase("a status line and the begin of one", "HTTP/1.1 404 HTTP/1.1 2", listOf(true, false, true)),
+        BodyCase("a status line and the begin of one", "HTTP/1.1 404 HTTP/1.1 ", listOf(true, false, true)),
     ).forEach { case ->
         test("a body with ${case.what}") {
             val body = case.body
