Disconnect instances that send pings without end

Callers' requests timed out beside a connection that sent pings without end: each was decoded and answered, at any rate, on the one event loop that also serves callers and runs the timers of deadlines.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerMessage.kt
@@ -142,4 +142,7 @@
     val ping: Boolean = false,
     val packedRows: PackedRows? = null,
     val leaving: List<LeavingMessage> = emptyList(),
-)
+) {
+    /** Whether the message asks for a response without a request, or has nothing that this process knows. */
+    val isSignOfLife: Boolean get() = ping || news != null || this == PeerMessage()
+}
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
@@ -24,6 +24,7 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.protobuf.ProtoBuf
+import rhubarbspool.edge.ProcessClock
 import rhubarbspool.model.Address
 
 /** Callbacks of one connection. */
@@ -83,12 +84,13 @@
             FlushConsolidationHandler(MESSAGES_PER_FLUSH, true),
             LengthFieldBasedFrameDecoder(MAXIMUM_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
             LengthFieldPrepender(LENGTH_BYTES),
-            FrameHandler(listener, log),
+            FrameHandler(listener),
         )
     }
 
-    private class FrameHandler(private val listener: PeerListener, private val log: DecisionLog) :
-        SimpleChannelInboundHandler<ByteBuf>() {
+    private inner class FrameHandler(private val listener: PeerListener) : SimpleChannelInboundHandler<ByteBuf>() {
+        private val signsOfLife = SignsOfLife()
+
         override fun channelWritabilityChanged(context: ChannelHandlerContext) {
             if (context.channel().isWritable) listener.onWritable(context.channel())
         }
@@ -96,7 +98,8 @@
         override fun channelActive(context: ChannelHandlerContext) = listener.onOpened(context.channel())
 
         override fun channelRead0(context: ChannelHandlerContext, frame: ByteBuf) = try {
-            listener.onReceived(decode(ByteBufUtil.getBytes(frame)))
+            // Frames that were read together with the one that ended the connection.
+            if (context.channel().isActive) onMessage(context.channel(), decode(ByteBufUtil.getBytes(frame))) else Unit
         } catch (exception: SerializationException) {
             log.fault(
                 "cannot decode a message of a peer",
@@ -107,6 +110,14 @@
             Unit
         }
 
+        private fun onMessage(channel: Channel, message: PeerMessage) {
+            if (message.isSignOfLife && signsOfLife.isExcessive(ProcessClock.monotonic())) {
+                disconnect(channel, "too many messages")
+            } else {
+                listener.onReceived(message)
+            }
+        }
+
         override fun channelInactive(context: ChannelHandlerContext) = listener.onDisconnected()
 
         @Deprecated("Overrides a deprecated method of Netty")
