Cut off responses that consist of little but framing

Beside servers that send chunks of a byte, long extensions of chunks or interim responses without end, others were served late and deadlines were missed.

Cause: each part of a body was searched for a status line together with the 1,024 bytes before it, and written to the caller with a system call of its own. Parts below 1 kB that are read together are now passed on as one, and a response with more than 128 kB of framing beyond the size of its body is invalid, as if it were not HTTP.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerExchange.kt
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpObject
 import io.netty.util.ReferenceCountUtil
 import rhubarbspool.dispatch.Disorder
@@ -54,7 +53,7 @@
     private val channel: Channel = connection.channel
     private val record = connection.record
     private val isReused = record.requestCount > 0
-    private val codec = HttpClientCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES)
+    private val codec = ServerCodec()
     private val response = ResponseAssembly(record, names)
     private var hasReceived = false
     private var isStreaming = false
@@ -67,7 +66,8 @@
     /** Sends the request. */
     fun start() {
         record.begin(id)
-        channel.pipeline().addLast(codec, this)
+        codec.addTo(channel.pipeline())
+        channel.pipeline().addLast(this)
         channel.writeAndFlush(request).addListener {
             isRequestWritten = true
             if (!it.isSuccess) abort(BreakCause.CLOSED) else if (hasEnded) releaseChannel()
@@ -148,7 +148,7 @@
         if (hasEnded || isCompleting || head == null) return
         isCompleting = true
         // What the decoder holds is passed on as it is removed.
-        if (channel.pipeline().context(codec) != null) channel.pipeline().remove(codec)
+        codec.removeFrom(channel.pipeline())
         val flaw = response.flaw(connectionFailed)
         if (flaw != null) return abort(flaw)
         hasEnded = true
@@ -176,9 +176,6 @@
     private companion object {
         /** Responses up to this size are buffered until they are complete; larger ones are streamed. */
         const val MAXIMUM_BUFFERED_BYTES = 131_072
-        const val MAXIMUM_LINE_BYTES = 8_192
-        const val MAXIMUM_HEADER_BYTES = 32_768
-        const val MAXIMUM_CHUNK_BYTES = 16_384
 
         /** Time in which the rest of a response arrives behind another one that was written into its body. */
         const val SETTLE_MILLISECONDS = 20L
--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
@@ -22,6 +22,7 @@
 /** Records how an exchange ended. */
 private class EndRecorder : ExchangeListener {
     val ends = ArrayList<String>()
+    var parts = 0
 
     override fun onAnswer(head: ServerHead, body: ByteBuf) {
         ends += "answer ${head.status} ${body.toString(Charsets.UTF_8)}"
@@ -31,6 +32,7 @@
     override fun onStreamStarted(head: ServerHead) = Unit
 
     override fun onStreamBytes(bytes: ByteBuf) {
+        parts++
         bytes.release()
     }
 
@@ -238,6 +240,50 @@
         }
     }
 
+    data class FramingCase(val what: String, val response: String, val isRelayed: Boolean)
+
+    val extension = ";" + "e".repeat(7_000)
+
+    fun chunks(count: Int, size: Int, extension: String = "") =
+        "${size.toString(radix = 16)}$extension\r\n${"x".repeat(size)}\r\n".repeat(count)
+
+    val chunked = "${own}Transfer-Encoding: chunked\r\n\r\n"
+    val end = "0\r\n\r\n"
+    val interim = "HTTP/1.1 100 Continue\r\n\r\n"
+
+    // Guards against responses of many small parts, which keep the event loop from other requests.
+    listOf(
+        FramingCase("of 20,000 chunks of a byte", "$chunked${chunks(20_000, 1)}$end", isRelayed = true),
+        FramingCase("of 40,000 chunks of a byte", "$chunked${chunks(40_000, 1)}$end", isRelayed = false),
+        FramingCase("of 40,000 chunks of 16 bytes", "$chunked${chunks(40_000, 16)}$end", isRelayed = true),
+        FramingCase("of 40 chunks of 16,384 bytes", "$chunked${chunks(40, 16_384)}$end", isRelayed = true),
+        FramingCase("of 10 extended chunks", "$chunked${chunks(10, 1, extension)}$end", isRelayed = true),
+        FramingCase("of 40 extended chunks", "$chunked${chunks(40, 1, extension)}$end", isRelayed = false),
+        FramingCase("behind 100 interim responses", interim.repeat(100) + whole, isRelayed = true),
+        FramingCase("behind 10,000 interim responses", interim.repeat(10_000) + whole, isRelayed = false),
+        FramingCase("of 540 kB", "${own}Content-Length: 540000\r\n\r\n${"x".repeat(540_000)}", isRelayed = true),
+    ).forEach { case ->
+        test("a response ${case.what}") {
+            val connection = connection()
+            val recorder = connection.exchange("b")
+            case.response.chunked(READ_BYTES).forEach { if (connection.channel.isActive) connection.receive(it) }
+            recorder.ends.map { it.substringBefore(' ') } shouldBe
+                listOf(if (!case.isRelayed) "broken" else if (case.response.length < 200_000) "answer" else "stream")
+            connection.record.disorder shouldBe Disorder.NOT_HTTP.takeUnless { case.isRelayed }
+        }
+    }
+
+    test("small chunks that are read together are streamed together") {
+        val connection = connection()
+        val recorder = connection.exchange("b")
+        connection.receive(chunked + chunks(1, 140_000))
+        val earlierParts = recorder.parts
+        connection.receive(chunks(2_700, 1))
+        recorder.parts - earlierParts shouldBe 1
+        connection.receive(end)
+        recorder.ends shouldBe listOf("stream")
+    }
+
     listOf("x" to listOf("answer 200 hello"), earlier to listOf("broken WRONG_ANSWER")).forEach { (rest, ends) ->
         test("a response without a length that ends with ${rest.take(8)}") {
             val connection = connection()
@@ -249,3 +295,6 @@
         }
     }
 })
+
+/** The bytes that are received at once. */
+private const val READ_BYTES = 16_384
