Send what is whole before a connection closes for a broken stream

Callers that pipeline requests and read slowly lost whole responses, which servers had made, when a later response on the connection broke off or ran into its deadline.

Cause: the connection was closed at once, with all that it had not sent yet. It now ends behind what was written, as it does behind a last response; the response that broke off still lacks its end. Ruled out: a stream that breaks off while its caller does not read, since nothing is read from the server meanwhile; it takes the deadline.

BrokenStreamTest, 2 cases: with the connection closed at once, the one that is read late ended after 22,975 of 120,000 bytes of a response ahead, and the one that is read at once passed; both pass now.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerTurn.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerTurn.kt
@@ -116,11 +116,7 @@
 
     /** Closes the connection if this is its last response. */
     fun closeIfLast() {
-        if (isAborted) {
-            channel.close()
-        } else if (closesAfter) {
-            output.closeChannel()
-        }
+        if (isLast) output.closeChannel()
     }
 
     private fun setConnectionHeader(headers: HttpHeaders) {
