--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/CallExchange.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/CallExchange.kt
@@ -20,8 +20,8 @@
 import java.util.concurrent.CompletableFuture
 
 /**
- * A call to [address] over [channel], which [isReused] if it has carried another one; completes [answer] with a response
- * of at most [maximumBytes]. Calls [onEnded] before, with whether the connection can carry another call.
+ * A call to [address] over [channel], which [isReused] if it has carried another one; completes [answer] with a
+ * response of at most [maximumBytes]. Calls [onEnded] before, with whether the connection can carry another call.
  */
 internal class CallExchange(
     private val channel: Channel,
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ResponseAssembly.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ResponseAssembly.kt
@@ -13,6 +13,7 @@
 import rhubarbspool.dispatch.ConnectionRecord
 import rhubarbspool.dispatch.Disorder
 import rhubarbspool.dispatch.ResponseOwner
+import rhubarbspool.edge.StatusLines
 
 /** The response on the connection of [record]. */
 internal class ResponseAssembly(private val record: ConnectionRecord, private val names: HeaderNames) {
@@ -47,7 +48,7 @@
         return when {
             isSkipping -> null
             // A head that was cut off, with another one behind it.
-            StatusLineScanner.isStatusLineIn(response) -> BreakCause.NOT_HTTP
+            StatusLines.isIn(response) -> BreakCause.NOT_HTTP
             else -> onFinalHead(ServerHead.of(response))
         }
     }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/StatusLineScanner.kt
@@ -5,7 +5,6 @@
 package rhubarbspool.entry
 
 import io.netty.buffer.ByteBuf
-import io.netty.handler.codec.http.HttpResponse
 
 /** Searches a body part by part; [isRepeat] says whether the text from a status line on is a repeated response. */
 internal class StatusLineScanner(private val isRepeat: (String) -> Boolean) {
@@ -58,36 +57,29 @@
         hasRepeat = isRepeat(String(bytes, index, minOf(HEAD_BYTES, bytes.size - index), Charsets.ISO_8859_1))
     }
 
-    companion object {
-        private const val VERSION = "HTTP/1."
-        private const val FIRST_BYTE = 'H'.code.toByte()
+    private companion object {
+        const val VERSION = "HTTP/1."
+        const val FIRST_BYTE = 'H'.code.toByte()
 
         /** Bytes of `HTTP/1.1 2`; a status line may be cut off behind them. */
-        private const val STATUS_LINE_BYTES = 10
-        private const val STATUS_AT = 9
+        const val STATUS_LINE_BYTES = 10
+        const val STATUS_AT = 9
 
         /** Bytes of a head in which the names of its request and its signature are searched. */
-        private const val HEAD_BYTES = 1_024
+        const val HEAD_BYTES = 1_024
 
         /** Bounds the time for a body that is full of status lines. */
-        private const val MAXIMUM_SEARCHES = 100
-        private val STATUS_LINE = Regex("HTTP/1[.][01] [0-9]")
-
-        /** Whether the reason phrase or the value of a header of [response] contains a status line. */
-        fun isStatusLineIn(response: HttpResponse): Boolean =
-            isStatusLineIn(response.status().reasonPhrase()) || response.headers().any { isStatusLineIn(it.value) }
-
-        private fun isStatusLineIn(text: String) = VERSION in text && STATUS_LINE.containsMatchIn(text)
+        const val MAXIMUM_SEARCHES = 100
 
         /** Whether the [length] bytes that [byteAt] returns start with a status line, or are the beginning of one. */
-        private inline fun isBegun(length: Int, byteAt: (Int) -> Byte): Boolean {
+        inline fun isBegun(length: Int, byteAt: (Int) -> Byte): Boolean {
             val end = minOf(STATUS_LINE_BYTES, length)
             var count = 0
             while (count < end && isPartOfStatusLine(byteAt(count), count)) count++
             return count == end
         }
 
-        private fun isPartOfStatusLine(byte: Byte, position: Int): Boolean = when {
+        fun isPartOfStatusLine(byte: Byte, position: Int): Boolean = when {
             position < VERSION.length -> byte == VERSION[position].code.toByte()
             position == STATUS_AT - 1 -> byte == ' '.code.toByte()
             position >= STATUS_AT -> byte in '0'.code..'9'.code
