Bound what servers and instances may have read in a turn

Cause: up to 1 MB of one connection was read and handled before the other connections and the timers had their turn. It is 32 kB now, for connections of servers and other instances, the store, readiness and metrics.

Ruled out here: the same for callers' connections.

The time of large downloads was not measured.

--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpClient.kt
@@ -114,6 +114,7 @@
         val connectFuture = Bootstrap().group(group).channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMilliseconds.toInt())
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, ReadBudget.allocator())
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
                     val aggregator = HttpObjectAggregator(maximumAnswerBytes)
--- a/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpService.kt
+++ b/rhubarbspool-edge/src/main/kotlin/rhubarbspool/edge/HttpService.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
@@ -77,6 +78,7 @@
     /** Binds to [address] and returns the listening channel; closing it stops the listener. */
     fun listen(address: Address): Channel = ServerBootstrap().group(group)
         .channel(NioServerSocketChannel::class.java)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadBudget.allocator())
         .childHandler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 val watch = TransferWatch(ProcessClock::monotonic)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/PeerTransport.kt
@@ -25,6 +25,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.protobuf.ProtoBuf
 import rhubarbspool.edge.ProcessClock
+import rhubarbspool.edge.ReadBudget
 import rhubarbspool.model.Address
 
 /** Callbacks of one connection. */
@@ -45,6 +46,7 @@
     fun listen(address: Address, accept: (Channel) -> PeerListener): Channel = ServerBootstrap().group(group)
         .channel(NioServerSocketChannel::class.java)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadBudget.allocator())
         .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
         .childHandler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) = addHandlers(channel, accept(channel))
@@ -55,6 +57,7 @@
     fun connect(address: Address, listener: PeerListener) {
         val future = Bootstrap().group(group).channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, ReadBudget.allocator())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) = addHandlers(channel, listener)
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerConnections.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ServerConnections.kt
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import rhubarbspool.dispatch.ConnectionReuse
 import rhubarbspool.dispatch.Disorder
+import rhubarbspool.edge.ReadBudget
 import rhubarbspool.edge.UnsolicitedBytesHandler
 import rhubarbspool.model.Address
 import java.util.ArrayDeque
@@ -109,6 +110,7 @@
         openedCount++
         val future = Bootstrap().group(group).channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, ReadBudget.allocator())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
