End long responses to HTTP/1.0 callers with their connection

Callers that speak HTTP/1.0 got long responses without a length in chunks, and took the framing for bytes of the body.

Cause: whatever had no length was sent in chunks. For these callers the end of the connection now ends the response. The connection is reset if the response breaks off or the process ends before all was sent, so that a part doesn't look whole. Ruled out: HTTP/1.1 callers with `Connection: close`, which read chunks and see that the last one is missing.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
@@ -127,7 +127,9 @@
     override fun onRequest(request: CallerRequest, keepAlive: Boolean) {
         interim.cancel()
         watch.onMessageReceived()
-        handler.handle(request, turns.add(context.channel(), keepAlive, clock))
+        val turn = turns.add(context.channel(), keepAlive, clock)
+        turn.framing = CallerFraming(request.readsChunks)
+        handler.handle(request, turn)
     }
 
     override fun onInvalid(error: RequestError) {
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerTurn.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerTurn.kt
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import rhubarbspool.dispatch.ExecutionRecord
 import rhubarbspool.dispatch.FinalStatus
@@ -35,6 +34,9 @@
     /** Whether the request has run, and the source of the status of its response. */
     val executions = ExecutionRecord()
 
+    /** How the caller is told where the response ends; set before anything is sent. */
+    var framing = CallerFraming()
+
     /** Called when the caller disconnects before the response has ended. */
     var onCallerGone: () -> Unit = {}
 
@@ -63,9 +65,7 @@
         val responseStatus = HttpResponseStatus.valueOf(status.code)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, responseStatus, body)
         response.headers().set(headers)
-        if (status.code !in BODILESS_STATUSES) {
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-        }
+        framing.setLength(response.headers(), status.code, body.readableBytes())
         setConnectionHeader(response.headers())
         output.write(response)
         complete()
@@ -75,8 +75,10 @@
     fun startStream(status: FinalStatus, headers: HttpHeaders) {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status.code))
         response.headers().set(headers)
-        val isFramed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-        if (!isFramed) HttpUtil.setTransferEncodingChunked(response, true)
+        if (framing.setStreamed(response)) {
+            closesAfter = true
+            output.endWithConnection()
+        }
         setConnectionHeader(response.headers())
         output.write(response)
     }
@@ -116,7 +118,7 @@
 
     /** Closes the connection if this is its last response. */
     fun closeIfLast() {
-        if (isLast) output.closeChannel()
+        if (isLast) output.closeChannel(isWhole = !isAborted)
     }
 
     private fun setConnectionHeader(headers: HttpHeaders) {
@@ -130,8 +132,4 @@
         output.seal()
         onCompleted(this)
     }
-
-    private companion object {
-        val BODILESS_STATUSES = setOf(204, 304)
-    }
 }
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestReader.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/RequestReader.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
@@ -15,13 +16,14 @@
 import rhubarbspool.errors.RequestError
 import java.io.ByteArrayOutputStream
 
-/** A caller's whole request; [arrivedAt] is in monotonic milliseconds. */
+/** A caller's whole request; [arrivedAt] is in monotonic milliseconds; the caller [readsChunks] or not. */
 internal class CallerRequest(
     val method: String,
     val target: String,
     val headers: HttpHeaders,
     val body: ByteArray,
     val arrivedAt: Long,
+    val readsChunks: Boolean = true,
 )
 
 /** Receives requests; after [onInvalid] nothing more is read. */
@@ -92,8 +94,14 @@
         head = null
         val received = body.toByteArray()
         body = ByteArrayOutputStream(0)
-        val callerRequest =
-            CallerRequest(request.method().name(), request.uri(), request.headers(), received, clock())
+        val callerRequest = CallerRequest(
+            request.method().name(),
+            request.uri(),
+            request.headers(),
+            received,
+            clock(),
+            readsChunks = request.protocolVersion() != HttpVersion.HTTP_1_0,
+        )
         listener.onRequest(callerRequest, HttpUtil.isKeepAlive(request))
     }
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/TurnOutput.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/TurnOutput.kt
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelOption
 import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.HttpObject
 import io.netty.util.ReferenceCountUtil
@@ -14,6 +15,7 @@
 internal class TurnOutput(private val channel: Channel) {
     private val pending = ArrayDeque<HttpObject>()
     private var sealed = false
+    private var endsWithConnection = false
 
     /** Whether the earlier responses have ended, so that output is written immediately. */
     var isCurrent = false
@@ -46,12 +48,24 @@
         pending.clear()
     }
 
+    /** The end of the response is that of the channel, which is reset if it closes before all was written. */
+    fun endWithConnection() {
+        endsWithConnection = true
+        channel.config().setOption(ChannelOption.SO_LINGER, 0)
+    }
+
     /**
      * Closes the channel when all was written and the caller has closed it, or a while after that: input that is still
-     * under way to a closed channel resets it, and with it what the caller has not received yet.
+     * under way to a closed channel resets it, and with it what the caller has not received yet. A response that ends
+     * with the connection and is not [isWhole] must not look so.
      */
-    fun closeChannel() {
+    fun closeChannel(isWhole: Boolean) {
+        if (endsWithConnection && !isWhole) {
+            channel.close()
+            return
+        }
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener {
+            if (endsWithConnection && it.isSuccess) channel.config().setOption(ChannelOption.SO_LINGER, NO_LINGER)
             if (channel is DuplexChannel) channel.shutdownOutput() else channel.close()
             channel.eventLoop().schedule({ channel.close() }, LINGER_MILLISECONDS, TimeUnit.MILLISECONDS)
         }
@@ -66,5 +80,8 @@
     private companion object {
         /** Time in which callers receive the rest of a response and close their connection. */
         const val LINGER_MILLISECONDS = 1_000L
+
+        /** The option's value for a channel that closes in the usual way. */
+        const val NO_LINGER = -1
     }
 }
