Pass on the length that a server names in response to HEAD

Callers of HEAD were told that the body has no bytes, whatever the server said.

Cause: the length was set to that of the relayed body, which HEAD has none of. The server's length is now kept; errors of the instance's own name that of the body that GET would get.

--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.util.ReferenceCountUtil
 import rhubarbspool.edge.TransferWatch
@@ -128,7 +129,7 @@
         interim.cancel()
         watch.onMessageReceived()
         val turn = turns.add(context.channel(), keepAlive, clock)
-        turn.framing = CallerFraming(request.readsChunks)
+        turn.framing = CallerFraming(request.method == HttpMethod.HEAD.name(), request.readsChunks)
         handler.handle(request, turn)
     }
 
--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerFraming.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/CallerFraming.kt
@@ -8,11 +8,13 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 
-/** The framing of a response whose caller [readsChunks] or not. */
-internal class CallerFraming(private val readsChunks: Boolean = true) {
+/** The framing of a response; the request [isHead] if its response has no body, and its caller [readsChunks] or not. */
+internal class CallerFraming(private val isHead: Boolean = false, private val readsChunks: Boolean = true) {
     /** Sets the length of a whole response with [status] and a body of [length] bytes in [headers]. */
     fun setLength(headers: HttpHeaders, status: Int, length: Int) {
-        if (status !in BODILESS_STATUSES) headers.set(HttpHeaderNames.CONTENT_LENGTH, length)
+        // The server says how long the body would be.
+        val isKept = status in BODILESS_STATUSES || (isHead && length == 0)
+        if (!isKept) headers.set(HttpHeaderNames.CONTENT_LENGTH, length)
     }
 
     /** Sets the framing of the streamed [response]; returns whether it ends with the connection. */
