Take out each protection against mixed responses in the mutation tests

It takes mutations of any module, finds the modules of a file and of its test, keeps what was compiled, and builds two at a time.

No case was removed or relaxed.

--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -1,7 +1,8 @@
 """Mutation tests: disables one mechanism at a time in a copy of the sources and runs the test that must fail then.
 
 Usage: proofs/mutations.py [name ...]    Runs the named mutations, or all. Prints for each whether the test failed as
-it must, and the first failure that the test reported. Needs the same tools as the build.
+it must, and the first failure that the test reported. Needs the same tools as the build. The module of a mutation and
+that of its test are found by their files.
 """
 import concurrent.futures
 import pathlib
@@ -9,12 +10,15 @@
 import shutil
 import subprocess
 import sys
+import threading
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WORK = ROOT / "target" / "proofs"
-MAIN = "rhubarbspool-core/src/main/kotlin/rhubarbspool/"
+# Builds at a time: each compiles up to six modules.
+WORKERS = 2
+MAIN = "src/main/kotlin/rhubarbspool"
 
-# name: (file below MAIN, original text, replacement, test class, number of seeds)
+# name: (file below MAIN of its module, original text, replacement, test class, number of seeds)
 MUTATIONS = {
     "promise-not-kept": (
         "lease/PromiseRegistry.kt", "        promisedAt[subject] = now\n", "", "ControlFuzzTest", 300),
@@ -150,26 +154,148 @@
     "stop-admits-all": (
         "dispatch/PlannedStop.kt", "now < leftRotationAt || deadlineAt <= lastDeadlineAt", "now < endsAt",
         "PlannedStopAdmissionTest", 1),
+    "response-to-another-believed": (
+        "dispatch/ConnectionRecord.kt", "ids.isNotEmpty() && ids.all { it == inFlight }", "ids.isNotEmpty()",
+        "ConnectionRecordTest", 1),
+    "two-ids-believed": (
+        "dispatch/ConnectionRecord.kt", "ids.all { it == inFlight }", "ids.any { it == inFlight }",
+        "ConnectionRecordTest", 1),
+    "unnamed-on-used-connection": (
+        "dispatch/ConnectionRecord.kt", "requestCount == 1 && disorder == null", "disorder == null",
+        "ConnectionRecordTest", 1),
+    "unnamed-behind-disorder": (
+        "dispatch/ConnectionRecord.kt", "requestCount == 1 && disorder == null", "requestCount == 1",
+        "ConnectionRecordTest", 1),
+    "one-id-for-two-requests": (
+        "dispatch/ConnectionRecord.kt", " && id !in marks", "", "ConnectionRecordTest", 1),
+    "disorder-ignored": (
+        "dispatch/ConnectionRecord.kt", "disorder == null && requestCount <", "requestCount <", "ConnectionRecordTest", 1),
+    "reuse-not-suspended": (
+        "dispatch/ConnectionReuse.kt", "suspensions[address]?.let { now >= it.until } ?: true", "true",
+        "ConnectionReuseTest", 1),
+    "id-not-asked-for": (
+        "entry/ServerConnections.kt", "usable.firstOrNull { it.connection.record.mayCarry(id) }", "usable.firstOrNull()",
+        "ServerConnectionsTest", 1),
+    "disordered-connection-kept": (
+        "entry/ServerConnections.kt", "connection.record.disorder == null && ", "", "ServerConnectionsTest", 1),
+    "suspended-connection-kept": (
+        "entry/ServerConnections.kt", " && reuse.isAllowed(connection.address, now)", "", "ServerConnectionsTest", 1),
+    "idle-connections-kept": (
+        "entry/ServerConnections.kt",
+        "        idle.remove(connection.address)?.forEach { it.connection.channel.close() }\n", "",
+        "ServerConnectionsTest", 1),
+    "disorder-not-told": (
+        "entry/ServerConnection.kt", "        record.disorder?.let { keeper.onDisorder(this, it) }\n", "",
+        "ServerConnectionsTest", 1),
+    "surplus-unseen": (
+        "entry/ServerExchange.kt", "        record.onDisorder(Disorder.SURPLUS_BYTES)\n", "", "ServerExchangeTest", 1),
+    "decoder-drops-its-rest": (
+        "entry/ServerExchange.kt", "hasEnded || response.isComplete -> onSurplus()", "hasEnded -> onSurplus()",
+        "ServerExchangeTest", 1),
+    "decoder-outlives-exchange": (
+        "entry/ServerExchange.kt", "if (channel.pipeline().context(codec) != null) channel.pipeline().remove(codec)", "",
+        "ServerExchangeTest", 1),
+    "relayed-within-read": (
+        "entry/ServerExchange.kt", "?: streamIfLarge()",
+        "?: if (response.isComplete && !response.isDoubtful) complete() else streamIfLarge()", "ServerExchangeTest", 1),
+    "not-settled": (
+        "entry/ServerExchange.kt", "if (!response.isDoubtful) {", "if (response.isComplete) {", "ServerExchangeTest", 1),
+    "end-streamed-at-once": (
+        "entry/ServerExchange.kt", "if (head == null || response.isComplete) return", "if (head == null) return",
+        "ServerExchangeTest", 1),
+    "repeat-in-body": (
+        "entry/ResponseAssembly.kt", "scanner.hasRepeat || ", "", "ServerExchangeTest", 1),
+    "status-line-beside-surplus": (
+        "entry/ResponseAssembly.kt", "(isBegun && isDisordered) || ", "", "ServerExchangeTest", 1),
+    "status-line-in-unframed-body": (
+        "entry/ResponseAssembly.kt", " || (scanner.hasStatusLine && isUnframed)", "", "ServerExchangeTest", 1),
+    "end-of-body-not-minded": (
+        "entry/ResponseAssembly.kt", "scanner.hasStatusLine || scanner.begunBytes > 0", "scanner.hasStatusLine",
+        "ServerExchangeTest", 1),
+    "end-of-body-not-settled": (
+        "entry/ResponseAssembly.kt", " || scanner.begunBytes > 1", "", "ServerExchangeTest", 1),
+    "cut-status-line-in-body": (
+        "entry/StatusLineScanner.kt", "bytes[index + STATUS_AT] in '0'.code..'9'.code",
+        "bytes.drop(index + STATUS_AT).take(3).let { it.size == 3 && it.all { byte -> byte in '0'.code..'9'.code } }",
+        "ServerExchangeTest", 1),
+    "cut-status-line-in-head": (
+        "entry/StatusLineScanner.kt", 'HTTP/1[.][01] [0-9]"', 'HTTP/1[.][01] [0-9]{3}"', "ServerExchangeTest", 1),
+    "paused-while-settling": (
+        "entry/ServerExchange.kt", "            channel.config().isAutoRead = true\n", "", "ServerExchangeTest", 1),
+    "repeat-over-two-reads": (
+        "entry/StatusLineScanner.kt", "bytes.copyOfRange(maxOf(0, bytes.size - HEAD_BYTES), bytes.size)", "ByteArray(0)",
+        "ServerExchangeTest", 1),
+    "status-line-in-head": (
+        "entry/ResponseAssembly.kt", "            StatusLineScanner.isStatusLineIn(response) -> BreakCause.NOT_HTTP\n", "",
+        "ServerExchangeTest", 1),
+    "unframed-response-skipped": (
+        "entry/ResponseAssembly.kt", "isSkipping && final.isFramed", "isSkipping", "ServerExchangeTest", 1),
+    "unnamed-ahead-of-another": (
+        "entry/ResponseAssembly.kt", "isMixed || (isUnnamed && isDisordered)", "isMixed", "ServerExchangeTest", 1),
+    "interim-ahead-of-responses": (
+        "entry/CallerConnection.kt", "interim.expect(context, isAnswered)", "interim.expect(context, true)",
+        "InterimResponseTest", 1),
+    "interim-not-sent-later": (
+        "entry/CallerConnection.kt", "        if (isAnswered) interim.send(context)\n", "", "InterimResponseTest", 1),
+    "interim-behind-body": (
+        "entry/CallerConnection.kt",
+        "    override fun onRequest(request: CallerRequest, keepAlive: Boolean) {\n        interim.cancel()\n",
+        "    override fun onRequest(request: CallerRequest, keepAlive: Boolean) {\n", "InterimResponseTest", 1),
+    "interim-through-encoder": (
+        "entry/InterimResponse.kt",
+        "context.pipeline().context(HttpServerCodec::class.java)\n"
+        "            .writeAndFlush(Unpooled.copiedBuffer(CONTINUE, Charsets.US_ASCII))",
+        "val version = io.netty.handler.codec.http.HttpVersion.HTTP_1_1\n"
+        "        val status = io.netty.handler.codec.http.HttpResponseStatus.CONTINUE\n"
+        "        context.writeAndFlush(io.netty.handler.codec.http.DefaultFullHttpResponse(version, status))",
+        "InterimResponseTest", 1),
 }
 
 
-def run(name):
-    file, old, new, test, seeds = MUTATIONS[name]
-    copy = WORK / name
-    shutil.rmtree(copy, ignore_errors=True)
+def module_of(pattern):
+    """The module with the one file that matches [pattern]."""
+    found = [module for module in [*ROOT.glob("rhubarbspool-*"), ROOT / "platform"] if list(module.glob(pattern))]
+    if len(found) != 1:
+        raise ValueError(f"{len(found)} modules have {pattern}")
+    return found[0].name
+
+
+def workplace(tested):
+    """The calling thread's copy of the sources for tests of the module [tested], which keeps what was compiled."""
+    copy = WORK / f"{threading.current_thread().name}-{tested}"
+    if copy.exists():
+        return copy
     copy.mkdir(parents=True)
     shutil.copy(ROOT / "pom.xml", copy)
     for module in [*ROOT.glob("rhubarbspool-*"), ROOT / "platform"]:
         (copy / module.name).mkdir()
         shutil.copy(module / "pom.xml", copy / module.name)
-    shutil.copytree(ROOT / "rhubarbspool-core" / "src", copy / "rhubarbspool-core" / "src")
-    target = copy / MAIN / file
+        shutil.copytree(module / "src" / "main", copy / module.name / "src" / "main")
+    shutil.copytree(ROOT / tested / "src" / "test", copy / tested / "src" / "test")
+    return copy
+
+
+def run(name):
+    file, old, new, test, _ = MUTATIONS[name]
+    tested = module_of(f"src/test/kotlin/**/{test}.kt")
+    copy = workplace(tested)
+    target = copy / module_of(f"{MAIN}/{file}") / MAIN / file
     text = target.read_text()
     if text.count(old) != 1:
         return f"{name}: NOT APPLIED ({text.count(old)} matches in {file})"
     target.write_text(text.replace(old, new))
-    command = ["mvn", "-o", "-B", "-q", "-pl", "rhubarbspool-core", "test", f"-Dtest={test}",
-               f"-Drhubarbspool.seeds={seeds}", "-Dsurefire.failIfNoSpecifiedTests=false"]
+    try:
+        return verdict(name, copy, tested)
+    finally:
+        target.write_text(text)
+
+
+def verdict(name, copy, tested):
+    """What the test of the mutation [name] shows, which is applied in [copy]."""
+    test, seeds = MUTATIONS[name][3:]
+    command = ["mvn", "-o", "-B", "-q", "-pl", tested, "-am", "test", f"-Dtest={test}",
+               f"-Drhubarbspool.seeds={seeds}", "-Dsurefire.failIfNoSpecifiedTests=false",
+               "-Dkotlin.compiler.incremental=true"]
     result = subprocess.run(command, cwd=copy, capture_output=True, text=True)
     output = result.stdout + result.stderr
     if result.returncode == 0:
@@ -185,7 +311,8 @@
 
 def main():
     names = sys.argv[1:] or list(MUTATIONS)
-    with concurrent.futures.ThreadPoolExecutor(max_workers=5) as pool:
+    shutil.rmtree(WORK, ignore_errors=True)
+    with concurrent.futures.ThreadPoolExecutor(max_workers=WORKERS) as pool:
         for line in pool.map(run, names):
             print(line, flush=True)
 
--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerExchangeTest.kt
@@ -22,6 +22,7 @@
 /** Records how an exchange ended. */
 private class EndRecorder : ExchangeListener {
     val ends = ArrayList<String>()
+    var streamedBytes = 0
 
     override fun onAnswer(head: ServerHead, body: ByteBuf) {
         ends += "answer ${head.status} ${body.toString(Charsets.UTF_8)}"
@@ -31,6 +32,7 @@
     override fun onStreamStarted(head: ServerHead) = Unit
 
     override fun onStreamBytes(bytes: ByteBuf) {
+        streamedBytes += bytes.readableBytes()
         bytes.release()
     }
 
@@ -166,6 +168,12 @@
             mixed,
             Disorder.RESPONSE_IN_BODY,
         ),
+        RepeatCase(
+            "with a copy in its body that arrives in two parts",
+            listOf("${own}Content-Length: ${whole.length + 2}\r\n\r\nbo${whole.take(5)}", whole.drop(5)),
+            mixed,
+            Disorder.RESPONSE_IN_BODY,
+        ),
         RepeatCase(
             "with an unnamed copy in its body",
             listOf("${own}Content-Length: 40\r\n\r\nboHTTP/1.1 200 OK\r\nSignature: s\r\n\r\n" + "x".repeat(20)),
@@ -285,6 +293,27 @@
         }
     }
 
+    test("a response without a length that has an unnamed copy in its body") {
+        val connection = connection()
+        val recorder = connection.exchange("a")
+        connection.receive("$head\r\nheHTTP/1.1 500 Error\r\n\r\nllo")
+        connection.channel.close()
+        recorder.ends shouldBe listOf(mixed)
+        connection.record.disorder shouldBe Disorder.RESPONSE_IN_BODY
+    }
+
+    test("a response without an id ahead of one with it that is the next part of the same read") {
+        val connection = connection()
+        val recorder = connection.exchange("b")
+        val channel = connection.channel as EmbeddedChannel
+        listOf("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n", whole).forEach {
+            channel.writeOneInbound(Unpooled.copiedBuffer(it, Charsets.UTF_8))
+        }
+        recorder.ends.shouldBeEmpty()
+        channel.flushInbound()
+        recorder.ends shouldBe listOf(mixed)
+    }
+
     test("what follows a response that quotes a status line is read though its caller reads slowly") {
         val connection = connection()
         val recorder = connection.exchange("b")
@@ -293,4 +322,24 @@
         connection.channel.config().isAutoRead shouldBe true
         recorder.ends.shouldBeEmpty()
     }
+
+    data class StreamCase(val what: String, val end: String, val ends: List<String>, val streamedBytes: Int)
+
+    // Guards against the last bytes of a streamed response that are relayed before it has turned out to be whole.
+    listOf(
+        StreamCase("is whole", "x", listOf("stream"), 190_400),
+        StreamCase("has a copy in it", "bo$whole", listOf("broken WRONG_ANSWER"), 190_000),
+    ).forEach { case ->
+        test("the end of a large response that ${case.what}") {
+            val connection = connection()
+            val recorder = connection.exchange("b")
+            connection.receive("${own}Content-Length: 190400\r\n\r\n" + "x".repeat(190_000))
+            recorder.streamedBytes shouldBe 190_000
+            connection.receive(case.end.padEnd(400, 'x'))
+            (connection.channel as EmbeddedChannel).advanceTimeBy(1, TimeUnit.SECONDS)
+            (connection.channel as EmbeddedChannel).runScheduledPendingTasks()
+            recorder.ends shouldBe case.ends
+            recorder.streamedBytes shouldBe case.streamedBytes
+        }
+    }
 })
