--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerConnectionsTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/ServerConnectionsTest.kt
@@ -1,32 +1,94 @@
 /*
- * Connections that can carry no further request must not stay open: servers bound the number of their connections.
+ * A connection to a server is used again only if it is in order, has not carried a request with the same id, and its
+ * server has not repeated a response for a while.
  */
 package rhubarbspool.entry
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.channel.nio.NioIoHandler
 import rhubarbspool.dispatch.Disorder
 import rhubarbspool.model.Address
 
 class ServerConnectionsTest : FunSpec({
-    data class ReleaseCase(val what: String, val requests: Int, val disorder: Disorder?, val isKept: Boolean)
+    val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    afterSpec { group.shutdownGracefully() }
+    val server = Address("127.0.0.1", 1)
+    val other = Address("127.0.0.1", 2)
+
+    class Scene {
+        var now = 0L
+        val told = ArrayList<String>()
+        val connections = ServerConnections(group, { now }) { address, disorder, milliseconds ->
+            told += "$address $disorder $milliseconds"
+        }
+
+        /** A connection that has carried the request with [id], and is released if it is not out of order. */
+        fun used(id: String, address: Address = server, disorder: Disorder? = null, earlier: Int = 0): ServerConnection {
+            val connection = ServerConnection(EmbeddedChannel(), address, connections)
+            repeat(earlier) { connection.record.begin("earlier$it") }
+            connection.record.begin(id)
+            disorder?.let(connection.record::onDisorder)
+            connection.release(KEEP_ALIVE_MILLISECONDS)
+            return connection
+        }
+    }
+
+    data class ReleaseCase(val what: String, val disorder: Disorder?, val isKept: Boolean, val told: List<String>)
 
     listOf(
-        ReleaseCase("a request", requests = 1, disorder = null, isKept = true),
-        ReleaseCase("one request less than it may carry", requests = 99, disorder = null, isKept = true),
-        ReleaseCase("all requests that it may carry", requests = 100, disorder = null, isKept = false),
-        ReleaseCase("a request and other bytes", requests = 1, Disorder.SURPLUS_BYTES, isKept = false),
+        ReleaseCase("in order", null, true, emptyList()),
+        ReleaseCase("out of order", Disorder.SURPLUS_BYTES, false, listOf("$server SURPLUS_BYTES 10000")),
     ).forEach { case ->
-        test("a connection that has carried ${case.what} is ${if (case.isKept) "kept" else "closed"}") {
-            val channel = EmbeddedChannel()
-            val address = Address("127.0.0.1", 1)
-            val connections = ServerConnections(channel.eventLoop(), { 0L }) { _, _, _ -> }
-            val connection = ServerConnection(channel, address, connections)
-            repeat(case.requests) { connection.record.begin("r$it") }
-            case.disorder?.let(connection.record::onDisorder)
-            connections.release(connection, keepAlive = 10_000)
-            channel.isActive shouldBe case.isKept
+        test("a connection that is ${case.what} is kept: ${case.isKept}") {
+            val scene = Scene()
+            scene.used("a", disorder = case.disorder).channel.isActive shouldBe case.isKept
+            scene.told shouldBe case.told
+        }
+    }
+
+    // Guards against connections that stay open though they can carry no further request.
+    listOf(98 to true, 99 to false).forEach { (earlier, isKept) ->
+        test("a connection that has carried $earlier requests before its last one is kept: $isKept") {
+            Scene().used("a", earlier = earlier).channel.isActive shouldBe isKept
+        }
+    }
+
+    data class LaterCase(val address: Address, val at: Long, val isKept: Boolean)
+
+    listOf(
+        LaterCase(server, 9_999, isKept = false),
+        LaterCase(server, 10_000, isKept = true),
+        LaterCase(other, 0, isKept = true),
+    ).forEach { case ->
+        val isSame = case.address == server
+        test("${case.at} ms after disorder a connection is kept: ${case.isKept}; to the same server: $isSame") {
+            val scene = Scene()
+            scene.used("a", disorder = Disorder.SURPLUS_BYTES)
+            scene.now = case.at
+            scene.used("b", case.address).channel.isActive shouldBe case.isKept
+        }
+    }
+
+    test("idle connections to a server end when another one to it is out of order") {
+        val scene = Scene()
+        val idle = listOf(scene.used("a"), scene.used("b"), scene.used("c", other))
+        scene.used("d", disorder = Disorder.UNNAMED_RESPONSE)
+        idle.map { it.channel.isActive } shouldBe listOf(false, false, true)
+    }
+
+    listOf("a" to false, "b" to true).forEach { (id, isReused) ->
+        test("an idle connection that has carried a carries $id: $isReused") {
+            val scene = Scene()
+            val idle = scene.used("a")
+            var acquired: ServerConnection? = null
+            scene.connections.acquire(server, ServerConnections.NO_IDLE_LIMIT, id) { acquired = it }
+            (acquired === idle) shouldBe isReused
+            scene.connections.openedCount shouldBe if (isReused) 0 else 1
         }
     }
 })
+
+private const val KEEP_ALIVE_MILLISECONDS = 5_000L
