--- a/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/TurnReadsTest.kt
+++ b/rhubarbspool-entry/src/test/kotlin/rhubarbspool/entry/TurnReadsTest.kt
@@ -15,9 +15,13 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
+import rhubarbspool.edge.Metrics
+import rhubarbspool.errors.RequestError
 import rhubarbspool.model.Address
+import rhubarbspool.model.Now
 import java.io.IOException
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -78,6 +82,14 @@
         return mostOf(PeerTransport(group, log).listen(loopback) { listener }, ByteArray(0), message)
     }
 
+    /** The most bytes of a caller's request that were read in one turn. */
+    fun ofCaller(head: String, repeated: String): Int {
+        val state = EntryState({ _, _, _ -> null }, log)
+        val context = ProcessContext(testSettings(loopback), state, loop, log, EntryMetrics(Metrics())) { Now(0) }
+        val server = CallerServer(group, context, DiscardingHandler).listen()
+        return mostOf(server, head.toByteArray(), repeated.toByteArray())
+    }
+
     private fun mostOf(server: Channel, head: ByteArray, repeated: ByteArray): Int {
         val accepted = CompletableFuture<Unit>()
         val watch = object : ChannelInboundHandlerAdapter() {
@@ -118,6 +130,18 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly()
     }
 
+    private object DiscardingHandler : RequestHandler {
+        override val bodyLimit = Long.MAX_VALUE
+        override val bodyMemory = BodyMemory()
+        override val isStopping = false
+
+        override fun handle(request: CallerRequest, turn: CallerTurn) = Unit
+
+        override fun reject(error: RequestError, turn: CallerTurn) = Unit
+
+        override fun arrivalLimit(headers: HttpHeaders, minimum: Long): Long = minimum
+    }
+
     private object DiscardingListener : ExchangeListener {
         override fun onAnswer(head: ServerHead, body: ByteBuf) {
             body.release()
@@ -139,11 +163,13 @@
 
 class TurnReadsTest : FunSpec({
     val answer = "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n"
+    val request = "POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\n"
     withData<TurnCase>(
         { it.what },
         TurnCase("a response with a length") { it.ofServer("${answer}Content-Length: 9999999\r\n\r\n", "x") },
         TurnCase("a response in chunks") { it.ofServer("${answer}Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n") },
         TurnCase("interim responses") { it.ofServer("", "HTTP/1.1 100 Continue\r\n\r\n") },
+        TurnCase("a request with a length") { it.ofCaller("${request}Content-Length: 9999999\r\n\r\n", "x") },
         TurnCase("messages of another instance") { it.ofPeer(byteArrayOf(0, 0, 0, 3, 0xF8.toByte(), 7, 1)) },
     ) { case ->
         val most = WaitingBytes().use(case.most)
