--- a/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ResponseAssembly.kt
+++ b/rhubarbspool-entry/src/main/kotlin/rhubarbspool/entry/ResponseAssembly.kt
@@ -13,11 +13,12 @@
 import rhubarbspool.dispatch.ConnectionRecord
 import rhubarbspool.dispatch.Disorder
 import rhubarbspool.dispatch.ResponseOwner
+import rhubarbspool.edge.StatusLines
 
 /** The response on the connection of [record]. */
 internal class ResponseAssembly(private val record: ConnectionRecord, private val names: HeaderNames) {
     private val scanner = StatusLineScanner { record.isNamedIn(it) || names.notExecuted in it }
-    private val buffered = Unpooled.compositeBuffer(MAXIMUM_PARTS)
+    private var buffered = Unpooled.compositeBuffer(MAXIMUM_PARTS)
     private var isSkipping = false
 
     /** The head of the response; null until it has arrived. */
@@ -28,8 +29,8 @@
     var isComplete = false
         private set
 
-    /** Whether the body quotes a status line, so that it may end later than it seems. */
-    val isDoubtful: Boolean get() = scanner.hasStatusLine
+    /** Whether the body quotes a status line, or ends like one, so that it may end later than it seems. */
+    val isDoubtful: Boolean get() = scanner.hasStatusLine || scanner.begunBytes > 1
 
     /** Number of bytes of the body that have not been taken. */
     val bufferedBytes: Int get() = buffered.readableBytes()
@@ -47,7 +48,7 @@
         return when {
             isSkipping -> null
             // A head that was cut off, with another one behind it.
-            StatusLineScanner.isStatusLineIn(response) -> BreakCause.NOT_HTTP
+            StatusLines.isIn(response) -> BreakCause.NOT_HTTP
             else -> onFinalHead(ServerHead.of(response))
         }
     }
@@ -79,7 +80,9 @@
     fun flaw(failed: Boolean): BreakCause? {
         val current = head
         val isDisordered = record.disorder != null
-        val isMixed = scanner.hasRepeat || (isDoubtful && (isDisordered || current?.isFramed == false))
+        val isBegun = scanner.hasStatusLine || scanner.begunBytes > 0
+        val isUnframed = current?.isFramed == false
+        val isMixed = scanner.hasRepeat || (isBegun && isDisordered) || (scanner.hasStatusLine && isUnframed)
         if (isMixed) record.onDisorder(Disorder.RESPONSE_IN_BODY)
         // One that names no request may be a copy of one that follows.
         val isUnnamed = current?.headers?.contains(names.requestId) != true
@@ -91,11 +94,10 @@
     }
 
     /** Takes the bytes of the body that have arrived; the caller owns them. */
-    fun takeBody(): ByteBuf {
-        val body = buffered.copy()
-        buffered.skipBytes(buffered.readableBytes()).discardReadComponents()
-        return body
-    }
+    fun takePart(): ByteBuf = buffered.also { buffered = Unpooled.compositeBuffer(MAXIMUM_PARTS) }
+
+    /** A copy of the bytes of the body that were not taken; the caller owns it. */
+    fun copyRest(): ByteBuf = buffered.copy()
 
     /** Releases the bytes that were not taken. */
     fun release() {
